--- /dev/null
+++ b/valeturn/rules.py
@@ -0,0 +1,587 @@
+"""All decisions of one server. How to call it: `Rules(settings, seed, now)` once at start, then
+`decide(now, events)` with all events of a moment, in order; it returns the actions, in order.
+Types are in valeturn/interface.py, the reasons in docs/design.md, what to do at night in docs/on-call.md.
+
+Reading order: the table of states, then the steps of `decide`: take in, sweep, prune, start, say.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from .interface import (
+    AnswerFrom, Arrived, AtCall, Call, CallEnded, Effect, Ended, Forget, Gauges, GoWithout, Gone, Halt, Halting,
+    Health, Leave, Outcome, Remember, Say, Saying, Start, TurnBack, Wake, Woken, WriteOff,
+)
+
+# States of a submission. SPENT: answered or its caller gone, but still on the cores or at a call.
+HELD, RUNNING, AT_CALL, CALLING, PAUSED, JOINED, SPENT, OVER = range(8)
+# Inputs.
+START, ENDED, STOPPED, CALLS, CALL_OUT, SKIP, CALL_DONE, CALL_UNRUN, CALL_MAYBE, GONE, GIVE_UP, HALT, JOIN = range(13)
+
+# (state, input) -> (next state, effect). A pair that is missing is harmless: an event of a submission that is
+# over, or an input that its state cannot meet; it changes nothing.
+TABLE = {
+    (HELD, START): (RUNNING, "start"),
+    (HELD, JOIN): (JOINED, "join"),
+    (HELD, GIVE_UP): (OVER, "turn_back"),
+    (HELD, GONE): (OVER, "leave_hold"),
+    (PAUSED, START): (RUNNING, "start"),
+    (PAUSED, GIVE_UP): (OVER, "write_off"),
+    (PAUSED, GONE): (OVER, "leave_hold"),
+    (JOINED, ENDED): (OVER, "finish"),
+    (JOINED, GIVE_UP): (OVER, "refuse_repeat"),
+    (JOINED, GONE): (OVER, "leave_hold"),
+    (RUNNING, ENDED): (OVER, "finish"),
+    (RUNNING, STOPPED): (PAUSED, "stopped"),
+    (RUNNING, CALLS): (AT_CALL, "seek_call"),
+    (RUNNING, HALT): (RUNNING, "halt"),
+    (RUNNING, GIVE_UP): (SPENT, "write_off_running"),
+    (RUNNING, GONE): (SPENT, "caller_gone"),
+    (AT_CALL, CALL_OUT): (CALLING, "call"),
+    (AT_CALL, SKIP): (RUNNING, "go_without"),
+    (AT_CALL, GIVE_UP): (SPENT, "write_off"),
+    (AT_CALL, GONE): (SPENT, None),
+    (AT_CALL, ENDED): (OVER, "finish"),
+    (CALLING, CALL_DONE): (RUNNING, "call_done"),
+    (CALLING, CALL_UNRUN): (AT_CALL, "call_unrun"),
+    (CALLING, CALL_MAYBE): (AT_CALL, "call_maybe"),
+    (CALLING, GIVE_UP): (SPENT, "write_off"),
+    (CALLING, GONE): (SPENT, None),
+    (CALLING, ENDED): (OVER, "finish"),
+    (SPENT, ENDED): (OVER, None),
+    (SPENT, STOPPED): (OVER, None),
+}
+ON_CORES = (RUNNING, SPENT)
+CALL_INPUT = {
+    Outcome.DONE: CALL_DONE, Outcome.REFUSED: CALL_UNRUN, Outcome.UNREACHED: CALL_UNRUN, Outcome.MOOT: CALL_UNRUN,
+    Outcome.ERROR: CALL_MAYBE, Outcome.TIMED_OUT: CALL_MAYBE, Outcome.RESET: CALL_MAYBE,
+    Outcome.CANCELLED: CALL_MAYBE,
+}
+
+SWEEP = 0.05  # s between sweeps: a third of the shortest run seen, and below any answer slack met
+HIGH, LOW = 1.5, 1.0  # J a core: shortest first from half a core's worth waiting, until nothing need wait
+CUT, SLOW = 0.8, 2.0  # the design's factor and trigger
+MEMORY_RUN, MEMORY_ALL = 0.85, 0.95  # of memory: for starting and keys, and for all; the gap takes what is read next
+CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
+CALLS_SAFE = 0.8  # of this server's share of calls out, as lingering ones are only guessed
+
+
+class Chance:
+    """Linear congruential generator, high bits used."""
+
+    def __init__(self, seed):
+        self.state = (seed ^ 0x5DEECE66D) & (2**64 - 1)
+
+    def next(self):
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
+        return (self.state >> 33) / 2**31
+
+
+class Fading:
+    """A row of decaying sums, brought up to date when read."""
+
+    def __init__(self, life, count, now):
+        self.life, self.at, self.sums = life, now, [0.0] * count
+
+    def read(self, now):
+        if now > self.at:
+            keep = math.exp((self.at - now) / self.life)
+            self.sums, self.at = [x * keep for x in self.sums], now
+        return self.sums
+
+
+class Submission:
+    __slots__ = ("id", "workload", "tenant", "memory", "cost", "due", "goal_by", "reached", "state", "ran", "owed",
+                 "since", "progress", "called", "tries", "repeats", "caller", "keyed", "seq")
+
+
+class Rules:
+    def __init__(self, settings, seed, now):
+        self.s, self.now, self.born = settings, now, now
+        self.chance = Chance(seed)
+        count = len(settings.workloads)
+        self.live, self.out, self.seq = {}, [], 0
+        self.keys = deque()  # (until, id) of remembered ones, whose memory stays taken
+        self.forgotten = set()
+        self.lingering = []  # until when given-up calls may still stand at the dependency
+        self.next_call = now
+        self.gauges = Gauges()
+        self.pressed, self.limit, self.cut_at = False, float(settings.cores), now
+        self.leave_at = self.stop_at = None
+        self.level = self.said = 0.0
+        self.level_at = now
+        # cost, time on the cores, time at calls and count of finished runs by workload. 4 s: some dozen runs.
+        self.runs = [Fading(4.0, 4, now) for _ in range(count)]
+        self.base = [None] * count  # slowly rising least of time over cost
+        self.speed_best = None
+        self.asked, self.won = Fading(15.0, count, now), Fading(15.0, count, now)
+        self.tenant_asked = Fading(3.0, len(settings.tenants), now)
+        self.tenant_cost = Fading(15.0, len(settings.tenants), now)
+        self.tenant_won = Fading(15.0, len(settings.tenants), now)
+        self.flow = Fading(1.0, 2, now)  # submissions read and turned back, as they stand for the level
+        self.calls = Fading(3.0, 2, now)  # time and count of calls that ended well
+        self.call_base, self.call_limit = None, max(1.0, settings.calls_share / 2)
+        self.longest = {}  # (caller, workload) -> the longest wait seen, by which later tries are told
+        self.awake = False
+
+    # ---- the way in
+
+    def decide(self, now, events):
+        self.now, self.out = now, []
+        if not self.awake:
+            self.awake = True
+            self.out += [Health(True, True), Wake(SWEEP, 0)]
+        for event in events:
+            self.TAKE_IN[type(event)](self, event)
+        self.serve_calls()
+        self.prune()
+        self.fill()
+        self.keep_memory()
+        return self.out
+
+    def step(self, sub, given):
+        """The short loop's body: looks the pair up, moves the submission and applies the effect."""
+        found = TABLE.get((sub.state, given))
+        if found is None:
+            return False
+        before, (sub.state, effect) = sub.state, found
+        if before == CALLING:
+            self.call_left(sub, given)
+        if effect:
+            getattr(self, "do_" + effect)(sub)
+        if sub.state == OVER:
+            self.live.pop(sub.id, None)
+        return True
+
+    # ---- events
+
+    def on_arrived(self, e):
+        w = self.s.workloads[e.workload]
+        sub = Submission()
+        sub.id, sub.workload, sub.tenant, sub.memory = e.id, e.workload, e.tenant, e.memory
+        sub.state, sub.ran, sub.owed, sub.tries, sub.repeats = HELD, False, True, 0, e.repeats
+        sub.called = sub.progress = 0.0
+        sub.since, sub.reached, sub.caller, sub.keyed = self.now, self.now - e.waited, e.caller, False
+        self.seq += 1
+        sub.seq = self.seq
+        sub.cost = e.cost_hint if e.cost_hint else self.mean_cost(e.workload)
+        left = w.cut_off - e.waited if e.left is None else e.left
+        sub.due = max(self.now, self.now + left)
+        # Nobody tells how old a try is: it is taken for as old as its wait is short of its caller's longest.
+        age = 0.0
+        if e.left is not None:
+            at = (e.caller, e.workload)
+            self.longest[at] = max(self.longest.get(at, 0.0), left + e.waited)
+            age = self.longest[at] - left - e.waited
+        sub.goal_by = sub.reached - age + min(w.latency_goal + w.goal_stretch * sub.cost, w.cut_off)
+        self.live[sub.id] = sub
+        self.asked.read(self.now)[e.workload] += sub.cost
+        self.flow.read(self.now)[0] += 1
+        if e.tenant is not None:
+            self.tenant_asked.read(self.now)[e.tenant] += 1
+            self.tenant_cost.read(self.now)[e.tenant] += sub.cost
+        if e.repeats is not None and (w.effect is not Effect.UNREPEATABLE):
+            self.step(sub, JOIN)
+        elif self.late_for_drain(sub):
+            self.step(sub, GIVE_UP)
+        elif w.effect is Effect.DEDUPLICATED or (w.effect is Effect.IDEMPOTENT and self.s.fresh_for > 0):
+            self.remember(sub, w)
+
+    def on_ended(self, e):
+        sub = self.live.get(e.id)
+        if sub is None:
+            return
+        if e.outcome is Outcome.CANCELLED and self.step(sub, STOPPED):
+            return
+        if sub.state == RUNNING and e.outcome is Outcome.DONE:
+            self.learn(sub)
+        elif sub.state == JOINED and e.outcome is Outcome.DONE:
+            self.count_won(sub)
+        self.step(sub, ENDED)
+
+    def on_gone(self, e):
+        sub = self.live.get(e.id)
+        if sub is not None:
+            sub.owed = False
+            self.step(sub, GONE)
+
+    def on_at_call(self, e):
+        sub = self.live.get(e.id)
+        if sub is not None:
+            self.step(sub, CALLS)
+
+    def on_call_ended(self, e):
+        sub = self.live.get(e.id)
+        if sub is None:
+            return
+        if e.outcome is Outcome.DONE:
+            sums = self.calls.read(self.now)
+            sums[0] += e.took
+            sums[1] += 1
+            mean = sums[0] / sums[1]
+            # The base creeps up by a hundredth a call, so that one lucky moment does not bind for long.
+            self.call_base = mean if self.call_base is None else min(self.call_base * 1.01, mean)
+            if mean > SLOW * self.call_base:
+                self.call_limit = max(1.0, self.call_limit * 0.95)
+            else:
+                self.call_limit = min(self.call_limit + 0.2, max(1.0, self.s.calls_share * CALLS_SAFE))
+        else:
+            self.call_limit = max(1.0, self.call_limit * CUT)
+        self.step(sub, CALL_INPUT[e.outcome])
+
+    def on_leave(self, e):
+        self.leave_at, self.stop_at = self.now, self.now + e.left
+        self.out.append(Health(False, True))
+
+    def on_woken(self, e):
+        self.gauges = e.gauges
+        self.out.append(Wake(SWEEP, 0))
+        margin = SWEEP + 2 * self.s.tick
+        for sub in list(self.live.values()):
+            last = sub.due if self.stop_at is None else min(sub.due, self.stop_at - margin)
+            if sub.owed and self.now + margin >= last + (0.0 if self.stop_at else 0.5 * self.s.answer_slack):
+                self.step(sub, GIVE_UP)
+            elif sub.state == RUNNING and self.now > sub.goal_by and self.pressed and self.s.halting is not Halting.OFF:
+                if not self.s.workloads[sub.workload].late_share:
+                    self.step(sub, GIVE_UP)
+        self.adapt_limit()
+        self.adapt_level()
+
+    TAKE_IN = {Arrived: on_arrived, Ended: on_ended, Gone: on_gone, AtCall: on_at_call, CallEnded: on_call_ended,
+               Leave: on_leave, Woken: on_woken}
+
+    # ---- effects
+
+    def do_start(self, sub):
+        sub.ran, sub.since = True, self.now
+        self.out.append(Start(sub.id))
+
+    def do_join(self, sub):
+        self.out.append(AnswerFrom(sub.id))
+
+    def do_turn_back(self, sub):
+        if sub.ran:  # dropped and held again: only idempotent work gets here, an error is the plain truth
+            return self.do_write_off(sub)
+        self.flow.read(self.now)[1] += 1
+        for other in list(self.live.values()):  # repeats that wait on it never ran either
+            if other.repeats == sub.id and other.state == JOINED:
+                self.step(other, GIVE_UP)
+        self.do_forget(sub)
+        self.refuse(sub)
+
+    def refuse(self, sub):
+        sub.owed = False
+        local = self.local_trouble()
+        advice = self.s.longest_advice if self.stop_at is not None else min(0.3, self.s.longest_advice) * local
+        self.out.append(TurnBack(sub.id, advice, not local and self.stop_at is None))
+
+    def do_refuse_repeat(self, sub):
+        first = self.live.get(sub.repeats)
+        if first is not None and first.state == HELD and not first.ran or first is not None and first.state == OVER:
+            return self.refuse(sub)
+        self.do_write_off(sub)
+
+    def do_leave_hold(self, sub):
+        if not sub.ran:
+            self.do_forget(sub)
+
+    def do_forget(self, sub):
+        if sub.keyed:
+            self.forgotten.add(sub.id)
+            sub.keyed = False
+            self.out.append(Forget(sub.id))
+
+    def do_write_off(self, sub):
+        if sub.owed:
+            sub.owed = False
+            self.out.append(WriteOff(sub.id))
+
+    def do_write_off_running(self, sub):
+        self.do_write_off(sub)
+        if self.s.halting is not Halting.OFF:
+            self.out.append(Halt(sub.id))
+
+    def do_caller_gone(self, sub):
+        """Stops work that nobody waits for, except what a repeat may still come for."""
+        if self.s.halting is not Halting.OFF and (
+                self.s.workloads[sub.workload].effect is not Effect.DEDUPLICATED or self.now > sub.goal_by):
+            self.out.append(Halt(sub.id))
+
+    def do_halt(self, sub):
+        self.out.append(Halt(sub.id))
+
+    def do_stopped(self, sub):
+        sub.progress = min(0.9 * sub.cost, sub.progress + (self.now - sub.since) * self.speed())
+
+    def do_finish(self, sub):
+        sub.owed = False
+
+    def do_seek_call(self, sub):
+        sub.tries = 0
+        sub.called -= self.now
+
+    def do_call(self, sub):
+        left = sub.due - self.now
+        self.next_call = self.now
+        if self.s.calls_share < 1:  # under one at a time: spread out, each call paying for its own time
+            left = min(left, self.s.calls_share * self.s.calls_window / 2)
+            self.next_call = self.now + (left + self.s.call_linger) / self.s.calls_share
+        sub.tries += 1
+        self.out.append(Call(sub.id, max(0.05, left)))
+
+    def call_left(self, sub, given):
+        if given != CALL_DONE and given != CALL_UNRUN:
+            self.lingering.append(self.now + self.s.call_linger)
+
+    def do_call_done(self, sub):
+        sub.called += self.now
+
+    def do_go_without(self, sub):
+        sub.called += self.now
+        self.out.append(GoWithout(sub.id))
+
+    def do_call_unrun(self, sub):
+        if sub.tries >= 3:
+            self.settle_call(sub)
+
+    def do_call_maybe(self, sub):
+        if self.s.workloads[sub.workload].effect is not Effect.IDEMPOTENT or sub.tries >= 2:
+            self.settle_call(sub)
+
+    def settle_call(self, sub):
+        """The call will not be made again: go on without it where that earns something, else write off."""
+        self.step(sub, SKIP if self.s.workloads[sub.workload].poorer_share > 0 else GIVE_UP)
+
+    # ---- what is known
+
+    def mean_cost(self, workload):
+        sums = self.runs[workload].read(self.now)
+        return (sums[0] + 0.1) / (sums[3] + 1.0) if sums[3] > 0.2 else 0.1
+
+    def speed(self):
+        """Hinted work per second that one run gets. Runs that are overdue show a slow or hung server before they
+        end; a small prior at the best speed brings the figure back when nothing is learned."""
+        cost = took = 0.0
+        for fading in self.runs:
+            sums = fading.read(self.now)
+            cost, took = cost + sums[0], took + sums[1]
+        best = self.speed_best if self.speed_best else self.cold_share()
+        for sub in self.live.values():
+            if sub.state == RUNNING:
+                took += max(0.0, self.now - sub.since - 2 * sub.cost / best)
+        return max(0.02, (cost + 0.5 * best) / (took + 0.5))
+
+    def cold_share(self):
+        """The share of its speed that a cold server has for sure: it rises in even steps at the least."""
+        if not self.s.cold or not self.s.cold_time:
+            return 1.0
+        return min(1.0, self.s.cold_speed + (1 - self.s.cold_speed) * (self.now - self.born) / self.s.cold_time)
+
+    def local_trouble(self):
+        """True when this server is worse than it should be, so that others can do what it cannot."""
+        return self.cold_share() < 1.0 or (self.speed_best is not None and self.speed() < 0.5 * self.speed_best)
+
+    def learn(self, sub):
+        took = max(1e-3, self.now - sub.since - max(0.0, sub.called))
+        cost = max(1e-3, sub.cost - sub.progress)
+        sums = self.runs[sub.workload].read(self.now)
+        for index, value in enumerate((cost, took, max(0.0, sub.called), 1.0)):
+            sums[index] += value
+        ratio, base = sums[1] / sums[0], self.base[sub.workload]
+        # The base creeps up by a hundredth a run: a lasting change becomes the new base in a minute or so.
+        self.base[sub.workload] = ratio if base is None else min(base * 1.01, ratio)
+        speed = self.speed()
+        self.speed_best = max(speed, 0.99 * self.speed_best) if self.speed_best else speed
+        if ratio > SLOW * self.base[sub.workload] and self.now - self.cut_at > 1.0:
+            self.limit, self.cut_at = max(self.s.cores, self.limit * CUT), self.now
+        elif self.gauges.busy is not None and self.gauges.busy < 0.9 and any(
+                other.state == HELD for other in self.live.values()):
+            self.limit += 1
+        self.count_won(sub)
+
+    def count_won(self, sub):
+        if self.now <= sub.goal_by and sub.owed:
+            self.won.read(self.now)[sub.workload] += sub.cost
+            if sub.tenant is not None:
+                self.tenant_won.read(self.now)[sub.tenant] += sub.cost
+
+    def values(self):
+        """What a unit of work of a workload and of a tenant adds to the result: its revenue in the whole, and
+        more for the one that is served worst, so that no workload or tenant starves behind others."""
+        asked, won = self.asked.read(self.now), self.won.read(self.now)
+        revenue = [w.revenue for w in self.s.workloads]
+        whole = sum(a * r for a, r in zip(asked, revenue)) + 1e-9
+        by_workload = [self.s.weight_whole * r / whole for r in revenue]
+        self.favour(by_workload, asked, won, self.s.weight_workload)
+        asked, won = self.tenant_cost.read(self.now), self.tenant_won.read(self.now)
+        by_tenant = [0.0] * len(asked)
+        within = []
+        for index, rate in enumerate(self.tenant_asked.read(self.now)):
+            allowed = self.s.tenants[index].allowance / max(1, self.s.servers) * self.tenant_asked.life
+            within.append(min(1.0, allowed / rate) if rate > allowed else 1.0)
+        self.favour(by_tenant, [a * x for a, x in zip(asked, within)], won, self.s.weight_tenant)
+        return by_workload, by_tenant, [x + (1 - x) * self.s.over_share_worth for x in within]
+
+    @staticmethod
+    def favour(values, asked, won, weight):
+        shares = [w / a if a > 0.05 else 1.0 for a, w in zip(asked, won)]
+        least = min(shares, default=1.0)
+        for index, share in enumerate(shares):
+            if share < least + 0.05 and asked[index] > 0.05:
+                values[index] += weight / asked[index]
+
+    def value(self, sub, known):
+        by_workload, by_tenant, within = known
+        value = by_workload[sub.workload]
+        if sub.tenant is not None:
+            value = (value + by_tenant[sub.tenant]) * within[sub.tenant]
+        return value if self.s.by_work else value / max(1e-3, sub.cost)
+
+    # ---- steps of a decision
+
+    def late_for_drain(self, sub):
+        return self.leave_at is not None and sub.reached > self.leave_at + self.s.drain_grace - self.s.tick
+
+    def memory(self):
+        while self.keys and self.keys[0][0] < self.now:
+            self.forgotten.discard(self.keys.popleft()[1])
+        total = (len(self.keys) - len(self.forgotten)) * self.s.key_memory
+        for sub in self.live.values():
+            total += sub.memory * (1.0 if sub.state in (HELD, JOINED) else self.s.run_memory_factor)
+        return total
+
+    def remember(self, sub, w):
+        lasting = w.window - (self.now - sub.reached) if w.effect is Effect.DEDUPLICATED else (
+            self.s.fresh_for + max(0.0, sub.due - self.now))
+        room = self.memory() + self.s.key_memory <= MEMORY_RUN * self.s.memory
+        if room and lasting > 0:
+            lasting += 2 * self.s.tick
+            sub.keyed = True
+            self.keys.append((self.now + lasting, sub.id))
+            self.out.append(Remember(sub.id, lasting))
+        elif w.effect is Effect.DEDUPLICATED:  # never run unmarked
+            self.step(sub, GIVE_UP)
+
+    def on_cores(self):
+        return sum(sub.state in ON_CORES for sub in self.live.values())
+
+    def crowd(self):
+        return CROWD * self.s.cores * (1 + (self.s.crowd_factor - 1) * self.cold_share())
+
+    def order(self):
+        """The design's two modes: arrival order, or least expected remaining cost first."""
+        waiting = [sub for sub in self.live.values() if sub.state in (HELD, PAUSED) and sub.owed]
+        j = len(waiting) + sum(sub.state == RUNNING for sub in self.live.values())
+        if j > HIGH * self.s.cores:
+            self.pressed = True
+        elif j <= LOW * self.s.cores:
+            self.pressed = False
+        if self.pressed:
+            waiting.sort(key=lambda sub: (sub.cost - sub.progress, sub.seq))
+        else:
+            waiting.sort(key=lambda sub: sub.seq)
+        return waiting
+
+    def prune(self):
+        """Turns back what would be late: walks the hold in its order, and where a submission would miss its goal
+        the one of least value up to there goes, the largest first among equals."""
+        speed, known, kept = self.speed(), None, []
+        rate = speed * max(self.limit, self.s.cores)
+        ahead = sum(max(0.1 * sub.cost, sub.cost - sub.progress - speed * (self.now - sub.since))
+                    for sub in self.live.values() if sub.state in ON_CORES)
+        start_ahead, idle = ahead, self.on_cores() == 0
+        for sub in self.order():
+            if sub.state == PAUSED:
+                ahead += sub.cost - sub.progress
+                continue
+            kept.append(sub)
+            ahead += sub.cost
+            runs = self.runs[sub.workload].read(self.now)
+            calls = runs[2] / runs[3] if runs[3] > 0.5 else 0.0
+            while True:
+                finish = max(ahead / rate, (ahead - start_ahead - sub.cost) / rate + sub.cost / speed) + calls
+                if self.now + finish <= sub.goal_by or (idle and len(kept) == 1 and self.now < sub.goal_by):
+                    break
+                known = known or self.values()
+                victim = min(kept, key=lambda k: (self.value(k, known), -k.cost))
+                kept.remove(victim)
+                ahead -= victim.cost
+                self.step(victim, GIVE_UP)
+                if victim is sub:
+                    break
+
+    def fill(self):
+        running, used = self.on_cores(), self.memory()
+        most = min(math.floor(self.limit), self.crowd())
+        order = self.order()
+        for sub in order:
+            if running + 1 > most:
+                break
+            grows = sub.memory * (self.s.run_memory_factor - 1) if sub.state == HELD else 0.0
+            if used + grows > MEMORY_RUN * self.s.memory or self.late_for_drain(sub):
+                continue
+            if self.step(sub, START):
+                running, used = running + 1, used + grows
+        if self.s.halting is Halting.PAUSE and self.pressed and running + 1 > most:
+            self.pause_for([sub for sub in order if sub.state == HELD])
+
+    def pause_for(self, held):
+        """A newcomer under a quarter of the largest running one takes its place; few at a time may be paused."""
+        paused = sum(sub.state == PAUSED for sub in self.live.values())
+        runs = [sub for sub in self.live.values() if sub.state == RUNNING and sub.owed]
+        if not held or not runs or paused * 4 >= self.s.cores:
+            return
+        speed = self.speed()
+        left, largest = max((sub.cost - sub.progress - speed * (self.now - sub.since), sub.id) for sub in runs)
+        sub = self.live[largest]
+        if held[0].cost < 0.25 * left and self.now + 2 * left / speed + 0.5 < sub.goal_by:
+            self.step(sub, HALT)
+
+    def keep_memory(self):
+        """Last guard: what is held goes, largest first, before memory runs out."""
+        used = self.memory()
+        if used > MEMORY_ALL * self.s.memory:
+            for sub in sorted(self.live.values(), key=lambda sub: -sub.memory):
+                if sub.state == HELD and used > MEMORY_ALL * self.s.memory:
+                    used -= sub.memory
+                    self.step(sub, GIVE_UP)
+
+    def serve_calls(self):
+        self.lingering = [until for until in self.lingering if until > self.now]
+        standing = sorted((sub for sub in self.live.values() if sub.state == AT_CALL), key=lambda sub: sub.goal_by)
+        if not standing:
+            return
+        out = sum(sub.state == CALLING for sub in self.live.values()) + len(self.lingering)
+        bound = max(1.0, min(self.call_limit, self.s.calls_share * CALLS_SAFE))
+        for sub in standing:
+            if out + 1 <= bound and self.now >= self.next_call and self.step(sub, CALL_OUT):
+                out += 1
+            elif self.s.workloads[sub.workload].poorer_share > 0 and self.now + 0.5 > sub.goal_by:
+                self.step(sub, SKIP)
+
+    # ---- what adapts
+
+    def adapt_limit(self):
+        if self.limit > self.crowd():
+            self.limit = max(self.s.cores, self.crowd())
+
+    def adapt_level(self):
+        """The free value rises while much is turned back and falls slowly: reading costs work too."""
+        if self.s.saying is Saying.OFF or self.now - self.level_at < 0.25:
+            return
+        self.level_at = self.now
+        read, back = self.flow.read(self.now)
+        if read > 2 and back > 0.05 * read:
+            self.level = min(0.9, self.level + 0.05 * min(1.0, 4 * back / read))
+        else:
+            self.level = max(0.0, self.level - 0.02)
+        value = self.level
+        if self.s.saying is Saying.CREDIT:
+            value = (1 - self.level) * 4 * self.s.cores / max(1, self.s.callers)
+        elif self.s.saying is Saying.WEIGHT:
+            value = 1 - self.level
+        if value != self.said:
+            self.said = value
+            self.out.append(Say(value))
