--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -94,7 +94,7 @@
 
 class Submission:
     __slots__ = ("id", "workload", "tenant", "memory", "cost", "due", "goal_by", "reached", "state", "ran", "owed",
-                 "since", "progress", "called", "tries", "repeats", "caller", "keyed", "seq")
+                 "since", "progress", "called", "tries", "repeats", "caller", "keyed", "seq", "hint")
 
 
 class Rules:
@@ -114,6 +114,8 @@
         self.level_at = now
         # cost, time on the cores, time at calls and count of finished runs by workload. 4 s: some dozen runs.
         self.runs = [Fading(4.0, 4, now) for _ in range(count)]
+        # count and logs of hint and time, for what hints are worth. 60 s: spreads want a hundred runs.
+        self.hints = [Fading(60.0, 5, now) for _ in range(count)]
         self.base = [None] * count  # slowly rising least of time over cost
         self.speed_best = None
         self.asked, self.won = Fading(15.0, count, now), Fading(15.0, count, now)
@@ -166,7 +168,8 @@
         sub.since, sub.reached, sub.caller, sub.keyed = self.now, self.now - e.waited, e.caller, False
         self.seq += 1
         sub.seq = self.seq
-        sub.cost = e.cost_hint if e.cost_hint else self.mean_cost(e.workload)
+        sub.hint = math.log(max(1e-3, e.cost_hint)) if e.cost_hint else None
+        sub.cost = self.expected_cost(e.workload, sub.hint)
         left = w.cut_off - e.waited if e.left is None else e.left
         sub.due = max(self.now, self.now + left)
         # Nobody tells how old a try is: it is taken for as old as its wait is short of its caller's longest.
@@ -175,7 +178,8 @@
             at = (e.caller, e.workload)
             self.longest[at] = max(self.longest.get(at, 0.0), left + e.waited)
             age = self.longest[at] - left - e.waited
-        sub.goal_by = sub.reached - age + min(w.latency_goal + w.goal_stretch * sub.cost, w.cut_off)
+        goal = min(w.latency_goal + w.goal_stretch * sub.cost, w.cut_off)
+        sub.goal_by = min(sub.reached - age + goal, sub.due)
         self.live[sub.id] = sub
         self.asked.read(self.now)[e.workload] += sub.cost
         self.flow.read(self.now)[0] += 1
@@ -356,9 +360,14 @@
 
     # ---- what is known
 
-    def mean_cost(self, workload):
-        sums = self.runs[workload].read(self.now)
-        return (sums[0] + 0.1) / (sums[3] + 1.0) if sums[3] > 0.2 else 0.1
+    def expected_cost(self, workload, hint):
+        """Hints are rough, so a hint counts for as much as it has told of run times: the slope of the logs, over
+        the workload's own mean. Without a hint that mean stands alone; before any run all are equal."""
+        n, x, y, xx, xy = self.hints[workload].read(self.now)
+        slope = (xy - x * y / n + 2.0) / (xx - x * x / n + 4.0) if n > 1 else 0.5  # 4 runs' worth of prior at a half
+        slope = min(1.0, max(0.0, slope))
+        middle = x / n if n > 0 else hint if hint is not None else math.log(0.1)
+        return math.exp(middle + slope * ((middle if hint is None else hint) - middle))
 
     def speed(self):
         """Hinted work per second that one run gets. Runs that are overdue show a slow or hung server before they
@@ -389,6 +398,11 @@
         sums = self.runs[sub.workload].read(self.now)
         for index, value in enumerate((cost, took, max(0.0, sub.called), 1.0)):
             sums[index] += value
+        if not sub.progress:
+            x, y = sub.hint if sub.hint is not None else math.log(took), math.log(max(5e-3, took))
+            seen = self.hints[sub.workload].read(self.now)
+            for index, value in enumerate((1.0, x, y, x * x, x * y)):
+                seen[index] += value
         ratio, base = sums[1] / sums[0], self.base[sub.workload]
         # The base creeps up by a hundredth a run: a lasting change becomes the new base in a minute or so.
         self.base[sub.workload] = ratio if base is None else min(base * 1.01, ratio)
@@ -502,7 +516,8 @@
             calls = runs[2] / runs[3] if runs[3] > 0.5 else 0.0
             while True:
                 finish = max(ahead / rate, (ahead - start_ahead - sub.cost) / rate + sub.cost / speed) + calls
-                if self.now + finish <= sub.goal_by or (idle and len(kept) == 1 and self.now < sub.goal_by):
+                if self.now + finish * self.pressed <= sub.goal_by or (idle and len(kept) == 1 and
+                                                                       self.now < sub.goal_by):
                     break
                 known = known or self.values()
                 victim = min(kept, key=lambda k: (self.value(k, known), -k.cost))
