--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -584,7 +584,7 @@
 
     def adapt_level(self):
         """The free value rises while much is turned back and falls slowly: reading costs work too."""
-        if self.s.saying is Saying.OFF or self.now - self.level_at < 0.25:
+        if self.s.saying is not None:
             return
         self.level_at = self.now
         read, back = self.flow.read(self.now)
