--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -12,7 +12,7 @@
 
 from .interface import (
     AnswerFrom, Arrived, AtCall, Call, CallEnded, Effect, Ended, Forget, Gauges, GoWithout, Gone, Halt, Halting,
-    Health, Leave, Outcome, Remember, Say, Saying, Start, TurnBack, Wake, Woken, WriteOff,
+    Health, Leave, Outcome, Remember, Start, TurnBack, Wake, Woken, WriteOff,
 )
 
 # States of a submission. SPENT: answered or its caller gone, but still on the cores or at a call.
@@ -110,8 +110,6 @@
         self.gauges = Gauges()
         self.pressed, self.limit, self.cut_at = False, float(settings.cores), now
         self.leave_at = self.stop_at = None
-        self.level = self.said = 0.0
-        self.level_at = now
         # cost, time on the cores, time at calls and count of finished runs by workload. 4 s: some dozen runs.
         self.runs = [Fading(4.0, 4, now) for _ in range(count)]
         # count and logs of hint and time, for what hints are worth. 60 s: spreads want a hundred runs.
@@ -122,7 +120,6 @@
         self.tenant_asked = Fading(3.0, len(settings.tenants), now)
         self.tenant_cost = Fading(15.0, len(settings.tenants), now)
         self.tenant_won = Fading(15.0, len(settings.tenants), now)
-        self.flow = Fading(1.0, 2, now)  # submissions read and turned back, as they stand for the level
         self.calls = Fading(3.0, 2, now)  # time and count of calls that ended well
         self.call_base, self.call_limit = None, max(1.0, settings.calls_share / 2)
         self.longest = {}  # (caller, workload) -> the longest wait seen, by which later tries are told
@@ -182,7 +179,6 @@
         sub.goal_by = min(sub.reached - age + goal, sub.due)
         self.live[sub.id] = sub
         self.asked.read(self.now)[e.workload] += sub.cost
-        self.flow.read(self.now)[0] += 1
         if e.tenant is not None:
             self.tenant_asked.read(self.now)[e.tenant] += 1
             self.tenant_cost.read(self.now)[e.tenant] += sub.cost
@@ -250,8 +246,7 @@
             elif sub.state == RUNNING and self.now > sub.goal_by and self.pressed and self.s.halting is not Halting.OFF:
                 if not self.s.workloads[sub.workload].late_share:
                     self.step(sub, GIVE_UP)
-        self.adapt_limit()
-        self.adapt_level()
+        self.limit = max(self.s.cores, min(self.limit, self.crowd()))
 
     TAKE_IN = {Arrived: on_arrived, Ended: on_ended, Gone: on_gone, AtCall: on_at_call, CallEnded: on_call_ended,
                Leave: on_leave, Woken: on_woken}
@@ -268,7 +263,6 @@
     def do_turn_back(self, sub):
         if sub.ran:  # dropped and held again: only idempotent work gets here, an error is the plain truth
             return self.do_write_off(sub)
-        self.flow.read(self.now)[1] += 1
         for other in list(self.live.values()):  # repeats that wait on it never ran either
             if other.repeats == sub.id and other.state == JOINED:
                 self.step(other, GIVE_UP)
@@ -279,7 +273,7 @@
         sub.owed = False
         local = self.local_trouble()
         advice = self.s.longest_advice if self.stop_at is not None else min(0.3, self.s.longest_advice) * local
-        self.out.append(TurnBack(sub.id, advice, not local and self.stop_at is None))
+        self.out.append(TurnBack(sub.id, advice))
 
     def do_refuse_repeat(self, sub):
         first = self.live.get(sub.repeats)
@@ -575,28 +569,3 @@
                 out += 1
             elif self.s.workloads[sub.workload].poorer_share > 0 and self.now + 0.5 > sub.goal_by:
                 self.step(sub, SKIP)
-
-    # ---- what adapts
-
-    def adapt_limit(self):
-        if self.limit > self.crowd():
-            self.limit = max(self.s.cores, self.crowd())
-
-    def adapt_level(self):
-        """The free value rises while much is turned back and falls slowly: reading costs work too."""
-        if self.s.saying is not None:
-            return
-        self.level_at = self.now
-        read, back = self.flow.read(self.now)
-        if read > 2 and back > 0.05 * read:
-            self.level = min(0.9, self.level + 0.05 * min(1.0, 4 * back / read))
-        else:
-            self.level = max(0.0, self.level - 0.02)
-        value = self.level
-        if self.s.saying is Saying.CREDIT:
-            value = (1 - self.level) * 4 * self.s.cores / max(1, self.s.callers)
-        elif self.s.saying is Saying.WEIGHT:
-            value = 1 - self.level
-        if value != self.said:
-            self.said = value
-            self.out.append(Say(value))
