--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -273,7 +273,7 @@
         sub.owed = False
         local = self.local_trouble()
         advice = self.s.longest_advice if self.stop_at is not None else min(0.3, self.s.longest_advice) * local
-        self.out.append(TurnBack(sub.id, advice))
+        self.out.append(TurnBack(sub.id, advice, self.stop_at is None))
 
     def do_refuse_repeat(self, sub):
         first = self.live.get(sub.repeats)
