--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -221,8 +221,8 @@
             sums[0] += e.took
             sums[1] += 1
             mean = sums[0] / sums[1]
-            # The base creeps up by a hundredth a call, so that one lucky moment does not bind for long.
-            self.call_base = mean if self.call_base is None else min(self.call_base * 1.01, mean)
+            # The base creeps up by a five-hundredth a call, so that one lucky moment does not bind for long.
+            self.call_base = mean if self.call_base is None else min(self.call_base * 1.002, mean)
             if mean > SLOW * self.call_base:
                 self.call_limit = max(1.0, self.call_limit * 0.95)
             else:
@@ -398,17 +398,22 @@
             for index, value in enumerate((1.0, x, y, x * x, x * y)):
                 seen[index] += value
         ratio, base = sums[1] / sums[0], self.base[sub.workload]
-        # The base creeps up by a hundredth a run: a lasting change becomes the new base in a minute or so.
-        self.base[sub.workload] = ratio if base is None else min(base * 1.01, ratio)
+        # The base creeps up by a thousandth a run: a lasting change becomes the new base in a minute or so.
+        self.base[sub.workload] = ratio if base is None else min(base * 1.001, ratio)
         speed = self.speed()
-        self.speed_best = max(speed, 0.99 * self.speed_best) if self.speed_best else speed
+        self.speed_best = max(speed, 0.999 * self.speed_best) if self.speed_best else speed
         if ratio > SLOW * self.base[sub.workload] and self.now - self.cut_at > 1.0:
             self.limit, self.cut_at = max(self.s.cores, self.limit * CUT), self.now
-        elif self.gauges.busy is not None and self.gauges.busy < 0.9 and any(
+        elif self.cores_idle() and any(
                 other.state == HELD for other in self.live.values()):
             self.limit += 1
         self.count_won(sub)
 
+    def cores_idle(self):
+        """By the mean and by the moment: the mean alone is half a second late and lets the limit overshoot."""
+        g = self.gauges
+        return g.busy is not None and g.busy < 0.9 and (g.runnable is None or g.runnable < self.s.cores)
+
     def count_won(self, sub):
         if self.now <= sub.goal_by and sub.owed:
             self.won.read(self.now)[sub.workload] += sub.cost
