--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -114,8 +114,9 @@
         self.runs = [Fading(4.0, 4, now) for _ in range(count)]
         # count and logs of hint and time, for what hints are worth. 60 s: spreads want a hundred runs.
         self.hints = [Fading(60.0, 5, now) for _ in range(count)]
-        self.base = [None] * count  # slowly rising least of time over cost
-        self.speed_best = None
+        # cost and time of runs that ended with no more on the cores than there are cores: what is normal here.
+        # 60 s: a trouble of half a minute does not become normal, a lasting change does.
+        self.calm = [Fading(60.0, 2, now) for _ in range(count)]
         self.asked, self.won = Fading(15.0, count, now), Fading(15.0, count, now)
         self.tenant_asked = Fading(3.0, len(settings.tenants), now)
         self.tenant_cost = Fading(15.0, len(settings.tenants), now)
@@ -370,12 +371,17 @@
         for fading in self.runs:
             sums = fading.read(self.now)
             cost, took = cost + sums[0], took + sums[1]
-        best = self.speed_best if self.speed_best else self.cold_share()
+        best = self.best_speed()
         for sub in self.live.values():
             if sub.state == RUNNING:
                 took += max(0.0, self.now - sub.since - 2 * sub.cost / best)
         return max(0.02, (cost + 0.5 * best) / (took + 0.5))
 
+    def best_speed(self):
+        sums = [fading.read(self.now) for fading in self.calm]
+        start = self.cold_share()
+        return (sum(x[0] for x in sums) + 0.5 * start) / (sum(x[1] for x in sums) + 0.5)
+
     def cold_share(self):
         """The share of its speed that a cold server has for sure: it rises in even steps at the least."""
         if not self.s.cold or not self.s.cold_time:
@@ -384,7 +390,7 @@
 
     def local_trouble(self):
         """True when this server is worse than it should be, so that others can do what it cannot."""
-        return self.cold_share() < 1.0 or (self.speed_best is not None and self.speed() < 0.5 * self.speed_best)
+        return self.cold_share() < 1.0 or self.speed() < 0.5 * self.best_speed()
 
     def learn(self, sub):
         took = max(1e-3, self.now - sub.since - max(0.0, sub.called))
@@ -397,12 +403,11 @@
             seen = self.hints[sub.workload].read(self.now)
             for index, value in enumerate((1.0, x, y, x * x, x * y)):
                 seen[index] += value
-        ratio, base = sums[1] / sums[0], self.base[sub.workload]
-        # The base creeps up by a thousandth a run: a lasting change becomes the new base in a minute or so.
-        self.base[sub.workload] = ratio if base is None else min(base * 1.001, ratio)
-        speed = self.speed()
-        self.speed_best = max(speed, 0.999 * self.speed_best) if self.speed_best else speed
-        if ratio > SLOW * self.base[sub.workload] and self.now - self.cut_at > 1.0:
+        calm = self.calm[sub.workload].read(self.now)
+        if self.on_cores() <= self.s.cores:
+            calm[0], calm[1] = calm[0] + cost, calm[1] + took
+        slow = sums[1] * calm[0] > SLOW * calm[1] * sums[0]
+        if slow and self.limit > self.s.cores and self.now - self.cut_at > 1.0:
             self.limit, self.cut_at = max(self.s.cores, self.limit * CUT), self.now
         elif self.cores_idle() and any(
                 other.state == HELD for other in self.live.values()):
