--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -107,7 +107,7 @@
         self.forgotten = set()
         self.lingering = []  # until when given-up calls may still stand at the dependency
         self.next_call = now
-        self.gauges = Gauges()
+        self.gauges, self.limit_used = Gauges(), False
         self.pressed, self.limit, self.cut_at = False, float(settings.cores), now
         self.leave_at = self.stop_at = None
         # cost, time on the cores, time at calls and count of finished runs by workload. 4 s: some dozen runs.
@@ -237,7 +237,7 @@
         self.out.append(Health(False, True))
 
     def on_woken(self, e):
-        self.gauges = e.gauges
+        self.gauges, self.limit_used = e.gauges, self.on_cores() >= math.floor(self.limit)
         self.out.append(Wake(SWEEP, 0))
         margin = SWEEP + 2 * self.s.tick
         for sub in list(self.live.values()):
@@ -415,9 +415,12 @@
         self.count_won(sub)
 
     def cores_idle(self):
-        """By the mean and by the moment: the mean alone is half a second late and lets the limit overshoot."""
+        """Cores idle though the limit was used up, at the last sweep: only then would one more run help. The
+        moment's gauge is asked first; the mean one is half a second late and lets the limit overshoot."""
         g = self.gauges
-        return g.busy is not None and g.busy < 0.9 and (g.runnable is None or g.runnable < self.s.cores)
+        if g.runnable is not None:
+            return g.runnable < self.s.cores and self.limit_used
+        return g.busy is not None and g.busy < 0.9 and self.limit_used
 
     def count_won(self, sub):
         if self.now <= sub.goal_by and sub.owed:
