--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -10,60 +10,59 @@
 import math
 from collections import deque
 
-from .interface import (
-    AnswerFrom, Arrived, AtCall, Call, CallEnded, Effect, Ended, Forget, Gauges, GoWithout, Gone, Halt, Halting,
-    Health, Leave, Outcome, Remember, Start, TurnBack, Wake, Woken, WriteOff,
-)
+from . import interface as it
+from .interface import AnswerFrom, Effect, Forget, Halt, Halting, Outcome, Remember, Start, TurnBack, WriteOff
 
 # States of a submission. SPENT: answered or its caller gone, but still on the cores or at a call.
 HELD, RUNNING, AT_CALL, CALLING, PAUSED, JOINED, SPENT, OVER = range(8)
 # Inputs.
-START, ENDED, STOPPED, CALLS, CALL_OUT, SKIP, CALL_DONE, CALL_UNRUN, CALL_MAYBE, GONE, GIVE_UP, HALT, JOIN = range(13)
+(START, ENDED, STOPPED, CALLS, CALL_OUT, SKIP, CALL_DONE, CALL_UNRUN, CALL_MAYBE, GONE, GIVE_UP, HALT,
+ JOIN) = range(13)
 
 # (state, input) -> (next state, effect). A pair that is missing is harmless: an event of a submission that is
 # over, or an input that its state cannot meet; it changes nothing.
 TABLE = {
     (HELD, START): (RUNNING, "start"),
-    (HELD, JOIN): (JOINED, "join"),
+    (HELD, JOIN): (JOINED, AnswerFrom),
     (HELD, GIVE_UP): (OVER, "turn_back"),
     (HELD, GONE): (OVER, "leave_hold"),
     (PAUSED, START): (RUNNING, "start"),
     (PAUSED, GIVE_UP): (OVER, "write_off"),
     (PAUSED, GONE): (OVER, "leave_hold"),
-    (JOINED, ENDED): (OVER, "finish"),
+    (JOINED, ENDED): (OVER, None),
     (JOINED, GIVE_UP): (OVER, "refuse_repeat"),
     (JOINED, GONE): (OVER, "leave_hold"),
-    (RUNNING, ENDED): (OVER, "finish"),
+    (RUNNING, ENDED): (OVER, None),
     (RUNNING, STOPPED): (PAUSED, "stopped"),
     (RUNNING, CALLS): (AT_CALL, "seek_call"),
-    (RUNNING, HALT): (RUNNING, "halt"),
+    (RUNNING, HALT): (RUNNING, Halt),
     (RUNNING, GIVE_UP): (SPENT, "write_off_running"),
     (RUNNING, GONE): (SPENT, "caller_gone"),
     (AT_CALL, CALL_OUT): (CALLING, "call"),
     (AT_CALL, SKIP): (RUNNING, "go_without"),
     (AT_CALL, GIVE_UP): (SPENT, "write_off"),
     (AT_CALL, GONE): (SPENT, None),
-    (AT_CALL, ENDED): (OVER, "finish"),
+    (AT_CALL, ENDED): (OVER, None),
     (CALLING, CALL_DONE): (RUNNING, "call_done"),
     (CALLING, CALL_UNRUN): (AT_CALL, "call_unrun"),
     (CALLING, CALL_MAYBE): (AT_CALL, "call_maybe"),
     (CALLING, GIVE_UP): (SPENT, "write_off"),
     (CALLING, GONE): (SPENT, None),
-    (CALLING, ENDED): (OVER, "finish"),
+    (CALLING, ENDED): (OVER, None),
     (SPENT, ENDED): (OVER, None),
     (SPENT, STOPPED): (OVER, None),
 }
 ON_CORES = (RUNNING, SPENT)
 CALL_INPUT = {
-    Outcome.DONE: CALL_DONE, Outcome.REFUSED: CALL_UNRUN, Outcome.UNREACHED: CALL_UNRUN, Outcome.MOOT: CALL_UNRUN,
-    Outcome.ERROR: CALL_MAYBE, Outcome.TIMED_OUT: CALL_MAYBE, Outcome.RESET: CALL_MAYBE,
-    Outcome.CANCELLED: CALL_MAYBE,
+    Outcome.DONE: CALL_DONE, Outcome.REFUSED: CALL_UNRUN, Outcome.UNREACHED: CALL_UNRUN,
+    Outcome.MOOT: CALL_UNRUN, Outcome.ERROR: CALL_MAYBE, Outcome.TIMED_OUT: CALL_MAYBE,
+    Outcome.RESET: CALL_MAYBE, Outcome.CANCELLED: CALL_MAYBE,
 }
 
 SWEEP = 0.05  # s between sweeps: a third of the shortest run seen, and below any answer slack met
 HIGH, LOW = 1.5, 1.0  # J a core: shortest first from half a core's worth waiting, until nothing need wait
 CUT, SLOW = 0.8, 2.0  # the design's factor and trigger
-MEMORY_RUN, MEMORY_ALL = 0.85, 0.95  # of memory: for starting and keys, and for all; the gap takes what is read next
+MEMORY_RUN, MEMORY_ALL = 0.85, 0.95  # of memory: to start and for keys, and for all; the gap takes newcomers
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
 CALLS_SAFE = 0.8  # of this server's share of calls out, as lingering ones are only guessed
 
@@ -93,28 +92,28 @@
 
 
 class Submission:
-    __slots__ = ("id", "workload", "tenant", "memory", "cost", "due", "goal_by", "reached", "state", "ran", "owed",
-                 "since", "progress", "called", "tries", "repeats", "caller", "keyed", "seq", "hint")
+    __slots__ = ("id", "workload", "tenant", "memory", "cost", "hint", "due", "goal_by", "reached", "state",
+                 "ran", "owed", "since", "progress", "called", "tries", "repeats", "keyed", "seq")
 
 
 class Rules:
     def __init__(self, settings, seed, now):
         self.s, self.now, self.born = settings, now, now
-        self.chance = Chance(seed)
+        self.chance, self.halts = Chance(seed), settings.halting is not Halting.OFF
         count = len(settings.workloads)
         self.live, self.out, self.seq = {}, [], 0
         self.keys = deque()  # (until, id) of remembered ones, whose memory stays taken
         self.forgotten = set()
         self.lingering = []  # until when given-up calls may still stand at the dependency
         self.next_call = now
-        self.gauges, self.limit_used = Gauges(), False
+        self.gauges, self.limit_used = it.Gauges(), False
         self.pressed, self.limit, self.cut_at = False, float(settings.cores), now
         self.leave_at = self.stop_at = None
         # cost, time on the cores, time at calls and count of finished runs by workload. 4 s: some dozen runs.
         self.runs = [Fading(4.0, 4, now) for _ in range(count)]
         # count and logs of hint and time, for what hints are worth. 60 s: spreads want a hundred runs.
         self.hints = [Fading(60.0, 5, now) for _ in range(count)]
-        # cost and time of runs that ended with no more on the cores than there are cores: what is normal here.
+        # cost and time of runs that ended with no more on the cores than there are cores: the normal.
         # 60 s: a trouble of half a minute does not become normal, a lasting change does.
         self.calm = [Fading(60.0, 2, now) for _ in range(count)]
         self.asked, self.won = Fading(15.0, count, now), Fading(15.0, count, now)
@@ -132,9 +131,12 @@
         self.now, self.out = now, []
         if not self.awake:
             self.awake = True
-            self.out += [Health(True, True), Wake(SWEEP, 0)]
-        for event in events:
-            self.TAKE_IN[type(event)](self, event)
+            self.out += [it.Health(True, True), it.Wake(SWEEP, 0)]
+        for e in events:
+            if type(e) in self.FOR_SERVER:
+                self.FOR_SERVER[type(e)](self, e)
+            elif e.id in self.live:  # an event of one that is over changes nothing
+                self.FOR_ONE[type(e)](self, self.live[e.id], e)
         self.serve_calls()
         self.prune()
         self.fill()
@@ -149,8 +151,10 @@
         before, (sub.state, effect) = sub.state, found
         if before == CALLING:
             self.call_left(sub, given)
-        if effect:
+        if isinstance(effect, str):
             getattr(self, "do_" + effect)(sub)
+        elif effect:
+            self.out.append(effect(sub.id))
         if sub.state == OVER:
             self.live.pop(sub.id, None)
         return True
@@ -163,7 +167,7 @@
         sub.id, sub.workload, sub.tenant, sub.memory = e.id, e.workload, e.tenant, e.memory
         sub.state, sub.ran, sub.owed, sub.tries, sub.repeats = HELD, False, True, 0, e.repeats
         sub.called = sub.progress = 0.0
-        sub.since, sub.reached, sub.caller, sub.keyed = self.now, self.now - e.waited, e.caller, False
+        sub.since, sub.reached, sub.keyed = self.now, self.now - e.waited, False
         self.seq += 1
         sub.seq = self.seq
         sub.hint = math.log(max(1e-3, e.cost_hint)) if e.cost_hint else None
@@ -190,10 +194,7 @@
         elif w.effect is Effect.DEDUPLICATED or (w.effect is Effect.IDEMPOTENT and self.s.fresh_for > 0):
             self.remember(sub, w)
 
-    def on_ended(self, e):
-        sub = self.live.get(e.id)
-        if sub is None:
-            return
+    def on_ended(self, sub, e):
         if e.outcome is Outcome.CANCELLED and self.step(sub, STOPPED):
             return
         if sub.state == RUNNING and e.outcome is Outcome.DONE:
@@ -202,25 +203,14 @@
             self.count_won(sub)
         self.step(sub, ENDED)
 
-    def on_gone(self, e):
-        sub = self.live.get(e.id)
-        if sub is not None:
-            sub.owed = False
-            self.step(sub, GONE)
-
-    def on_at_call(self, e):
-        sub = self.live.get(e.id)
-        if sub is not None:
-            self.step(sub, CALLS)
+    def on_gone(self, sub, e):
+        sub.owed = False
+        self.step(sub, GONE)
 
-    def on_call_ended(self, e):
-        sub = self.live.get(e.id)
-        if sub is None:
-            return
+    def on_call_ended(self, sub, e):
         if e.outcome is Outcome.DONE:
             sums = self.calls.read(self.now)
-            sums[0] += e.took
-            sums[1] += 1
+            sums[0], sums[1] = sums[0] + e.took, sums[1] + 1
             mean = sums[0] / sums[1]
             # The base creeps up by a five-hundredth a call, so that one lucky moment does not bind for long.
             self.call_base = mean if self.call_base is None else min(self.call_base * 1.002, mean)
@@ -234,23 +224,24 @@
 
     def on_leave(self, e):
         self.leave_at, self.stop_at = self.now, self.now + e.left
-        self.out.append(Health(False, True))
+        self.out.append(it.Health(False, True))
 
     def on_woken(self, e):
         self.gauges, self.limit_used = e.gauges, self.on_cores() >= math.floor(self.limit)
-        self.out.append(Wake(SWEEP, 0))
+        self.out.append(it.Wake(SWEEP, 0))
         margin = SWEEP + 2 * self.s.tick
         for sub in list(self.live.values()):
             last = sub.due if self.stop_at is None else min(sub.due, self.stop_at - margin)
             if sub.owed and self.now + margin >= last + (0.0 if self.stop_at else 0.5 * self.s.answer_slack):
                 self.step(sub, GIVE_UP)
-            elif sub.state == RUNNING and self.now > sub.goal_by and self.pressed and self.s.halting is not Halting.OFF:
-                if not self.s.workloads[sub.workload].late_share:
-                    self.step(sub, GIVE_UP)
+            elif sub.state == RUNNING and self.now > sub.goal_by and self.pressed and self.halts and (
+                    not self.s.workloads[sub.workload].late_share):
+                self.step(sub, GIVE_UP)
         self.limit = max(self.s.cores, min(self.limit, self.crowd()))
 
-    TAKE_IN = {Arrived: on_arrived, Ended: on_ended, Gone: on_gone, AtCall: on_at_call, CallEnded: on_call_ended,
-               Leave: on_leave, Woken: on_woken}
+    FOR_SERVER = {it.Arrived: on_arrived, it.Leave: on_leave, it.Woken: on_woken}
+    FOR_ONE = {it.Ended: on_ended, it.Gone: on_gone, it.CallEnded: on_call_ended,
+               it.AtCall: lambda self, sub, e: self.step(sub, CALLS)}
 
     # ---- effects
 
@@ -258,9 +249,6 @@
         sub.ran, sub.since = True, self.now
         self.out.append(Start(sub.id))
 
-    def do_join(self, sub):
-        self.out.append(AnswerFrom(sub.id))
-
     def do_turn_back(self, sub):
         if sub.ran:  # dropped and held again: only idempotent work gets here, an error is the plain truth
             return self.do_write_off(sub)
@@ -273,14 +261,18 @@
     def refuse(self, sub):
         sub.owed = False
         local = self.local_trouble()
-        advice = self.s.longest_advice if self.stop_at is not None else min(0.3, self.s.longest_advice) * local
+        advice = self.s.longest_advice
+        if self.stop_at is None:
+            advice = min(0.3, advice) * local
+        advice *= 0.75 + 0.25 * self.chance.next()  # so that callers do not all come back at once
         self.out.append(TurnBack(sub.id, advice, self.stop_at is None))
 
     def do_refuse_repeat(self, sub):
         first = self.live.get(sub.repeats)
-        if first is not None and first.state == HELD and not first.ran or first is not None and first.state == OVER:
-            return self.refuse(sub)
-        self.do_write_off(sub)
+        if first is not None and first.state in (HELD, OVER) and not first.ran:
+            self.refuse(sub)
+        else:
+            self.do_write_off(sub)
 
     def do_leave_hold(self, sub):
         if not sub.ran:
@@ -299,24 +291,18 @@
 
     def do_write_off_running(self, sub):
         self.do_write_off(sub)
-        if self.s.halting is not Halting.OFF:
+        if self.halts:
             self.out.append(Halt(sub.id))
 
     def do_caller_gone(self, sub):
         """Stops work that nobody waits for, except what a repeat may still come for."""
-        if self.s.halting is not Halting.OFF and (
+        if self.halts and (
                 self.s.workloads[sub.workload].effect is not Effect.DEDUPLICATED or self.now > sub.goal_by):
             self.out.append(Halt(sub.id))
 
-    def do_halt(self, sub):
-        self.out.append(Halt(sub.id))
-
     def do_stopped(self, sub):
         sub.progress = min(0.9 * sub.cost, sub.progress + (self.now - sub.since) * self.speed())
 
-    def do_finish(self, sub):
-        sub.owed = False
-
     def do_seek_call(self, sub):
         sub.tries = 0
         sub.called -= self.now
@@ -328,7 +314,7 @@
             left = min(left, self.s.calls_share * self.s.calls_window / 2)
             self.next_call = self.now + (left + self.s.call_linger) / self.s.calls_share
         sub.tries += 1
-        self.out.append(Call(sub.id, max(0.05, left)))
+        self.out.append(it.Call(sub.id, max(0.05, left)))
 
     def call_left(self, sub, given):
         if given != CALL_DONE and given != CALL_UNRUN:
@@ -338,8 +324,8 @@
         sub.called += self.now
 
     def do_go_without(self, sub):
-        sub.called += self.now
-        self.out.append(GoWithout(sub.id))
+        self.do_call_done(sub)
+        self.out.append(it.GoWithout(sub.id))
 
     def do_call_unrun(self, sub):
         if sub.tries >= 3:
@@ -356,17 +342,18 @@
     # ---- what is known
 
     def expected_cost(self, workload, hint):
-        """Hints are rough, so a hint counts for as much as it has told of run times: the slope of the logs, over
-        the workload's own mean. Without a hint that mean stands alone; before any run all are equal."""
+        """A hint counts for as much as it has told of run times: by the slope of the logs, about the workload's
+        own mean. Without a hint that mean stands alone; before any run all are equal."""
         n, x, y, xx, xy = self.hints[workload].read(self.now)
-        slope = (xy - x * y / n + 2.0) / (xx - x * x / n + 4.0) if n > 1 else 0.5  # 4 runs' worth of prior at a half
+        # The prior of a half is worth four runs: a hint's error is as wide as the spread of sizes, till told better.
+        slope = (xy - x * y / n + 2.0) / (xx - x * x / n + 4.0) if n > 1 else 0.5
         slope = min(1.0, max(0.0, slope))
         middle = x / n if n > 0 else hint if hint is not None else math.log(0.1)
         return math.exp(middle + slope * ((middle if hint is None else hint) - middle))
 
     def speed(self):
-        """Hinted work per second that one run gets. Runs that are overdue show a slow or hung server before they
-        end; a small prior at the best speed brings the figure back when nothing is learned."""
+        """Hinted work per second that one run gets. Overdue runs show a slow or hung server before they end; a
+        small prior at the normal speed brings the figure back when nothing is learned."""
         cost = took = 0.0
         for fading in self.runs:
             sums = fading.read(self.now)
