--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -67,17 +67,6 @@
 CALLS_SAFE = 0.8  # of this server's share of calls out, as lingering ones are only guessed
 
 
-class Chance:
-    """Linear congruential generator, high bits used."""
-
-    def __init__(self, seed):
-        self.state = (seed ^ 0x5DEECE66D) & (2**64 - 1)
-
-    def next(self):
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
-        return (self.state >> 33) / 2**31
-
-
 class Fading:
     """A row of decaying sums, brought up to date when read."""
 
@@ -99,7 +88,7 @@
 class Rules:
     def __init__(self, settings, seed, now):
         self.s, self.now, self.born = settings, now, now
-        self.chance, self.halts = Chance(seed), settings.halting is not Halting.OFF
+        self.halts = settings.halting is not Halting.OFF
         count = len(settings.workloads)
         self.live, self.out, self.seq = {}, [], 0
         self.keys = deque()  # (until, id) of remembered ones, whose memory stays taken
@@ -120,8 +109,6 @@
         self.tenant_asked = Fading(3.0, len(settings.tenants), now)
         self.tenant_cost = Fading(15.0, len(settings.tenants), now)
         self.tenant_won = Fading(15.0, len(settings.tenants), now)
-        self.calls = Fading(3.0, 2, now)  # time and count of calls that ended well
-        self.call_base, self.call_limit = None, max(1.0, settings.calls_share / 2)
         self.longest = {}  # (caller, workload) -> the longest wait seen, by which later tries are told
         self.awake = False
 
@@ -208,18 +195,6 @@
         self.step(sub, GONE)
 
     def on_call_ended(self, sub, e):
-        if e.outcome is Outcome.DONE:
-            sums = self.calls.read(self.now)
-            sums[0], sums[1] = sums[0] + e.took, sums[1] + 1
-            mean = sums[0] / sums[1]
-            # The base creeps up by a five-hundredth a call, so that one lucky moment does not bind for long.
-            self.call_base = mean if self.call_base is None else min(self.call_base * 1.002, mean)
-            if mean > SLOW * self.call_base:
-                self.call_limit = max(1.0, self.call_limit * 0.95)
-            else:
-                self.call_limit = min(self.call_limit + 0.2, max(1.0, self.s.calls_share * CALLS_SAFE))
-        else:
-            self.call_limit = max(1.0, self.call_limit * CUT)
         self.step(sub, CALL_INPUT[e.outcome])
 
     def on_leave(self, e):
@@ -250,8 +225,6 @@
         self.out.append(Start(sub.id))
 
     def do_turn_back(self, sub):
-        if sub.ran:  # dropped and held again: only idempotent work gets here, an error is the plain truth
-            return self.do_write_off(sub)
         for other in list(self.live.values()):  # repeats that wait on it never ran either
             if other.repeats == sub.id and other.state == JOINED:
                 self.step(other, GIVE_UP)
@@ -260,11 +233,9 @@
 
     def refuse(self, sub):
         sub.owed = False
-        local = self.local_trouble()
         advice = self.s.longest_advice
         if self.stop_at is None:
-            advice = min(0.3, advice) * local
-        advice *= 0.75 + 0.25 * self.chance.next()  # so that callers do not all come back at once
+            advice = min(0.3, advice) * self.local_trouble()
         self.out.append(TurnBack(sub.id, advice, self.stop_at is None))
 
     def do_refuse_repeat(self, sub):
@@ -296,8 +267,8 @@
 
     def do_caller_gone(self, sub):
         """Stops work that nobody waits for, except what a repeat may still come for."""
-        if self.halts and (
-                self.s.workloads[sub.workload].effect is not Effect.DEDUPLICATED or self.now > sub.goal_by):
+        kept = self.s.workloads[sub.workload].effect is Effect.DEDUPLICATED and self.now <= sub.goal_by
+        if self.halts and not kept:
             self.out.append(Halt(sub.id))
 
     def do_stopped(self, sub):
@@ -342,18 +313,18 @@
     # ---- what is known
 
     def expected_cost(self, workload, hint):
-        """A hint counts for as much as it has told of run times: by the slope of the logs, about the workload's
-        own mean. Without a hint that mean stands alone; before any run all are equal."""
+        """A hint counts for as much as it has told of run times: by the slope of the logs, about the mean of the
+        workload. Without a hint that mean stands alone; before any run all are equal."""
         n, x, y, xx, xy = self.hints[workload].read(self.now)
-        # The prior of a half is worth four runs: a hint's error is as wide as the spread of sizes, till told better.
+        # The prior of a half is worth four runs: a hint may err as widely as sizes spread, till told better.
         slope = (xy - x * y / n + 2.0) / (xx - x * x / n + 4.0) if n > 1 else 0.5
         slope = min(1.0, max(0.0, slope))
         middle = x / n if n > 0 else hint if hint is not None else math.log(0.1)
         return math.exp(middle + slope * ((middle if hint is None else hint) - middle))
 
     def speed(self):
-        """Hinted work per second that one run gets. Overdue runs show a slow or hung server before they end; a
-        small prior at the normal speed brings the figure back when nothing is learned."""
+        """Hinted work per second that one run gets. Overdue runs show a slow or hung server before they end;
+        a small prior at the normal speed brings the figure back when nothing is learned."""
         cost = took = 0.0
         for fading in self.runs:
             sums = fading.read(self.now)
@@ -373,7 +344,8 @@
         """The share of its speed that a cold server has for sure: it rises in even steps at the least."""
         if not self.s.cold or not self.s.cold_time:
             return 1.0
-        return min(1.0, self.s.cold_speed + (1 - self.s.cold_speed) * (self.now - self.born) / self.s.cold_time)
+        warmed = (self.now - self.born) / self.s.cold_time
+        return min(1.0, self.s.cold_speed + (1 - self.s.cold_speed) * warmed)
 
     def local_trouble(self):
         """True when this server is worse than it should be, so that others can do what it cannot."""
@@ -493,8 +465,8 @@
         return waiting
 
     def prune(self):
-        """Turns back what would be late: walks the hold in its order, and where a submission would miss its goal
-        the one of least value up to there goes, the largest first among equals."""
+        """Turns back what would be late: walks the hold in its order, and where a submission would miss its
+        goal the one of least value up to there goes, the largest first among equals."""
         speed, known, kept = self.speed(), None, []
         rate = speed * max(self.limit, self.s.cores)
         ahead = sum(max(0.1 * sub.cost, sub.cost - sub.progress - speed * (self.now - sub.since))
@@ -537,14 +509,14 @@
             self.pause_for([sub for sub in order if sub.state == HELD])
 
     def pause_for(self, held):
-        """A newcomer under a quarter of the largest running one takes its place; few at a time may be paused."""
+        """A newcomer under a quarter of the largest run takes its place; few at a time may be paused."""
         paused = sum(sub.state == PAUSED for sub in self.live.values())
         runs = [sub for sub in self.live.values() if sub.state == RUNNING and sub.owed]
         if not held or not runs or paused * 4 >= self.s.cores:
             return
         speed = self.speed()
-        left, largest = max((sub.cost - sub.progress - speed * (self.now - sub.since), sub.id) for sub in runs)
-        sub = self.live[largest]
+        left, sub = max(((run.cost - run.progress - speed * (self.now - run.since), run) for run in runs),
+                        key=lambda pair: pair[0])
         if held[0].cost < 0.25 * left and self.now + 2 * left / speed + 0.5 < sub.goal_by:
             self.step(sub, HALT)
 
@@ -559,12 +531,10 @@
 
     def serve_calls(self):
         self.lingering = [until for until in self.lingering if until > self.now]
-        standing = sorted((sub for sub in self.live.values() if sub.state == AT_CALL), key=lambda sub: sub.goal_by)
-        if not standing:
-            return
+        standing = [sub for sub in self.live.values() if sub.state == AT_CALL]
         out = sum(sub.state == CALLING for sub in self.live.values()) + len(self.lingering)
-        bound = max(1.0, min(self.call_limit, self.s.calls_share * CALLS_SAFE))
-        for sub in standing:
+        bound = max(1.0, self.s.calls_share * CALLS_SAFE)
+        for sub in sorted(standing, key=lambda sub: sub.goal_by):
             if out + 1 <= bound and self.now >= self.next_call and self.step(sub, CALL_OUT):
                 out += 1
             elif self.s.workloads[sub.workload].poorer_share > 0 and self.now + 0.5 > sub.goal_by:
--- a/valeturn/wirehost/wire.py
+++ b/valeturn/wirehost/wire.py
@@ -64,7 +64,8 @@
                 )
             )
         tenants = [
-            it.Tenant(t["name"], _get(t, "allowance_per_s", float("inf"))) for t in _get(profile, "tenants", ())
+            it.Tenant(t["name"], _get(t, "allowance_per_s", float("inf")))
+            for t in _get(profile, "tenants", ())
         ]
         self.tenants = {t.name: index for index, t in enumerate(tenants)}
         self.passes_wait = bool(_get(domain, "passes_deadline", False))
