--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,133 @@
+"""A slow, plain model of the four rules: plays the machine, and says of each action whether it is allowed."""
+
+from valeturn import interface as it
+
+IDEMPOTENT, DEDUPLICATED, UNREPEATABLE = it.Effect.IDEMPOTENT, it.Effect.DEDUPLICATED, it.Effect.UNREPEATABLE
+WORKLOADS = (
+    it.Workload("read", IDEMPOTENT, 1.0, 3.0, 1.0, late_share=0.2, calls=True, poorer_share=0.6),
+    it.Workload("book", DEDUPLICATED, 2.0, 6.0, 5.0, window=8.0),
+    it.Workload("file", UNREPEATABLE, 2.0, 5.0, 3.0, calls=True),
+)
+
+
+def settings(**changes):
+    base = it.Settings(
+        workloads=WORKLOADS, tenants=(it.Tenant("a", 5.0), it.Tenant("b", 5.0)), servers=2, cores=2,
+        memory=4000.0, run_memory_factor=4.0, key_memory=10.0, halting=it.Halting.DROP, tick=0.005,
+        answer_slack=0.1, drain_grace=1.0, crowd_factor=8.0, cold_speed=0.2, cold_time=10.0, calls_share=4.0,
+        calls_window=5.0, call_linger=0.2, longest_advice=1.0, by_work=True, weight_workload=0.2)
+    return base._replace(**changes)
+
+
+class Model:
+    """Holds what the wire says is true. `act` breaks with AssertionError on a forbidden action."""
+
+    def __init__(self, rules, s):
+        self.rules, self.s, self.now, self.subs, self.timers, self.entries = rules, s, 0.0, {}, [], {}
+        self.leave = self.stop = None
+        self.sent, self.ran = [], []  # ran: (key, reached) of deduplicated runs
+
+    def batch(self, now, *events):
+        self.now = now
+        for e in events:
+            if isinstance(e, it.Arrived):
+                w = self.s.workloads[e.workload]
+                left = e.left if e.left is not None else w.cut_off - e.waited
+                self.subs[e.id] = dict(e=e, w=w, due=max(now, now + left), reached=now - e.waited, at="held",
+                                       ran=False, owed=True, called=False, unrun=False)
+            elif isinstance(e, it.Gone):
+                self.subs[e.id]["owed"] = False
+                if self.subs[e.id]["at"] in ("held", "paused", "joined"):
+                    self.subs[e.id]["at"] = "over"
+            elif isinstance(e, it.Ended):
+                self.end(self.subs[e.id], e.outcome)
+            elif isinstance(e, it.AtCall):
+                self.subs[e.id].update(at="at call", called=False)
+            elif isinstance(e, it.CallEnded):
+                done = e.outcome is it.Outcome.DONE
+                proved = e.outcome in (it.Outcome.REFUSED, it.Outcome.UNREACHED, it.Outcome.MOOT)
+                self.subs[e.id].update(at="running" if done else "at call", unrun=proved)
+            elif isinstance(e, it.Leave):
+                self.leave, self.stop = now, now + e.left
+        self.timers = [t for t in self.timers if t > now]
+        actions = self.rules.decide(now, list(events))
+        for a in actions:
+            self.act(a)
+        self.sent += actions
+        self.check()
+        return actions
+
+    def end(self, sub, outcome):
+        if outcome is it.Outcome.CANCELLED and sub["owed"]:
+            sub["at"] = "paused" if self.s.halting is it.Halting.PAUSE else "held"
+        else:
+            sub.update(at="over", owed=False)
+
+    def act(self, a):
+        if isinstance(a, it.Wake):
+            self.timers.append(self.now + a.after)
+        sub = self.subs.get(getattr(a, "id", None))
+        assert sub is not None or not hasattr(a, "id"), f"acts on one never read: {a}"
+        if sub is None or sub["at"] == "over":
+            return
+        w = sub["w"]
+        if isinstance(a, it.Start):
+            assert sub["at"] in ("held", "paused") and sub["owed"], a
+            assert not (sub["ran"] and sub["at"] == "held" and w.effect is not IDEMPOTENT), "run twice"
+            if self.leave is not None:
+                assert sub["reached"] <= self.leave + self.s.drain_grace, "run after the grace"
+            if w.effect is DEDUPLICATED and not sub["ran"]:
+                key = sub["e"].subject
+                assert all(k != key or sub["reached"] - r > w.window for k, r in self.ran), "effect twice"
+                assert self.entries.get(key, (0,))[0] >= sub["reached"] + w.window, "run without an entry"
+                self.ran.append((key, sub["reached"]))
+            sub.update(at="running", ran=True)
+        elif isinstance(a, it.TurnBack):
+            assert sub["owed"] and not (sub["ran"] and w.effect is not IDEMPOTENT), "turned back once run"
+            if sub["at"] == "joined":
+                assert not self.subs[sub["e"].repeats]["ran"], "turned back a repeat of one that has run"
+            sub.update(owed=False, at="over" if sub["at"] in ("held", "paused", "joined") else "spent")
+        elif isinstance(a, it.WriteOff):
+            assert sub["owed"], "second answer"
+            sub.update(owed=False, at="over" if sub["at"] in ("held", "paused", "joined") else "spent")
+        elif isinstance(a, it.Halt):
+            assert self.s.halting is not it.Halting.OFF
+        elif isinstance(a, it.Call):
+            assert sub["at"] == "at call" and a.wait > 0
+            assert not sub["called"] or sub["unrun"] or w.effect is IDEMPOTENT, "call repeated"
+            sub.update(at="calling", called=True)
+        elif isinstance(a, it.GoWithout):
+            assert sub["at"] == "at call" and w.poorer_share > 0
+            sub["at"] = "running"
+        elif isinstance(a, it.Remember) and w.effect is DEDUPLICATED:
+            self.entries[sub["e"].subject] = (self.now + a.lasting, a.id)
+        elif isinstance(a, it.Forget):
+            if self.entries.get(sub["e"].subject, (0, 0))[1] == a.id:
+                assert not sub["ran"], "forgot one that has run"
+                del self.entries[sub["e"].subject]
+        elif isinstance(a, it.AnswerFrom):
+            assert sub["e"].repeats is not None
+            sub["at"] = "joined"
+
+    def first_try(self, key, reached):
+        """What the wire would say a deduplicated newcomer repeats."""
+        until, first = self.entries.get(key, (0.0, None))
+        return first if until > reached else None
+
+    def check(self):
+        alive = [sub for sub in self.subs.values() if sub["at"] != "over"]
+        for sub in alive:
+            assert not sub["owed"] or self.now <= sub["due"] + self.s.answer_slack, "answer overdue"
+            assert not sub["owed"] or self.stop is None or self.now < self.stop, "unanswered at the stop"
+        memory = sum(until > self.now for until, _ in self.entries.values()) * self.s.key_memory
+        for sub in alive:
+            factor = 1.0 if sub["at"] in ("held", "joined") else self.s.run_memory_factor
+            memory += sub["e"].memory * factor
+        assert memory <= self.s.memory, "out of memory"
+        share = 1.0
+        if self.s.cold:
+            share = min(1.0, self.s.cold_speed + (1 - self.s.cold_speed) * self.now / self.s.cold_time)
+        crowd = sum(sub["at"] in ("running", "spent") for sub in alive)
+        assert crowd <= self.s.cores * (1 + (self.s.crowd_factor - 1) * share), "crowded"
+        calls = sum(sub["at"] == "calling" for sub in alive)
+        assert calls <= max(1.0, self.s.calls_share), "too many calls out"
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,153 @@
+import pytest
+from helpers import Model, settings
+
+from valeturn import interface as it
+from valeturn.rules import Rules
+
+READ, BOOK, FILE = range(3)
+
+
+def model(**changes):
+    s = settings(**changes)
+    m = Model(Rules(s, 1, 0.0), s)
+    m.batch(0.0)
+    return m
+
+
+def arrive(number, workload=READ, **more):
+    given = dict(tenant=0, memory=10.0, cost_hint=0.1, subject=f"k{number}")
+    return it.Arrived(number, workload, **{**given, **more})
+
+
+def woken(busy=1.0, runnable=9):
+    return it.Woken(0, it.Gauges(busy, runnable, 0.1, 5))
+
+
+def kinds(actions, number=None):
+    return [type(a) for a in actions if hasattr(a, "id") and number in (None, a.id)]
+
+
+def until(m, stop, step=0.05, at=0.0):
+    out = []
+    while at < stop:
+        at = round(at + step, 6)
+        out += m.batch(at, woken())
+    return out
+
+
+def test_running_work_is_answered_before_it_is_due_and_stopped():
+    m = model()
+    assert kinds(m.batch(0.1, arrive(1, left=1.0))) == [it.Start]
+    assert kinds(until(m, 1.2, at=0.1)) == [it.WriteOff, it.Halt]
+
+
+def test_held_work_is_turned_back_once_its_goal_is_past():
+    m = model(halting=it.Halting.OFF)
+    m.batch(0.1, arrive(1, FILE), arrive(2, FILE), arrive(3, READ))
+    assert kinds(until(m, 1.3, at=0.1), 3) == [it.TurnBack]
+
+
+def test_starts_keep_to_the_cores_and_shortest_first_when_pressed():
+    m = model()
+    out = m.batch(0.1, *[arrive(n, cost_hint=0.4 - n / 40, left=2.9) for n in range(1, 9)])
+    assert kinds(out).count(it.Start) == 2
+    m.batch(0.2, it.Ended(7, it.Outcome.DONE, 0.1))
+    assert [a.id for a in m.sent if isinstance(a, it.Start)][:3] == [8, 7, 6]
+
+
+def test_few_held_start_in_arrival_order():
+    m = model(cores=4)
+    m.batch(0.1, *[arrive(n, FILE) for n in range(1, 5)], arrive(5, FILE, cost_hint=0.4), arrive(6, FILE))
+    assert kinds(m.batch(0.4, it.Ended(1, it.Outcome.DONE, 0.3)), 5) == [it.Start]
+
+
+def test_limit_rises_while_cores_idle_and_is_cut_when_runs_take_twice_as_long():
+    m = model()
+    m.batch(0.1, *[arrive(n, FILE, left=4.9) for n in range(1, 9)])
+    m.batch(0.15, woken(busy=0.3, runnable=1))
+    assert kinds(m.batch(0.2, it.Ended(1, it.Outcome.DONE, 0.1))).count(it.Start) == 2
+    m.rules.limit = 6.0
+    sums, calm = m.rules.runs[FILE].read(0.2), m.rules.calm[FILE].read(0.2)
+    sums[:2], calm[:] = (1.0, 10.0), (1.0, 3.0)
+    m.batch(1.5, it.Ended(2, it.Outcome.DONE, 1.4))
+    assert m.rules.limit == pytest.approx(4.8)
+
+
+def test_a_stopped_caller_frees_the_cores_but_a_repeat_may_still_come():
+    m = model()
+    m.batch(0.1, arrive(1, FILE), arrive(2, BOOK))
+    assert kinds(m.batch(0.2, it.Gone(1), it.Gone(2))) == [it.Halt]
+
+
+def test_a_repeat_joins_what_it_repeats_and_is_never_turned_back_once_that_ran():
+    m = model()
+    assert kinds(m.batch(0.1, arrive(1, BOOK, subject="x"))) == [it.Remember, it.Start]
+    assert kinds(m.batch(0.2, arrive(2, BOOK, subject="x", repeats=1))) == [it.AnswerFrom]
+    assert it.TurnBack not in kinds(until(m, 6.5, at=0.2))
+
+
+def test_no_room_for_a_key_turns_back_rather_than_run_unmarked():
+    m = model(memory=100.0, key_memory=90.0)
+    assert kinds(m.batch(0.1, arrive(1, BOOK))) == [it.TurnBack]
+
+
+def test_the_key_of_one_turned_back_is_forgotten():
+    m = model(halting=it.Halting.OFF)
+    m.batch(0.1, arrive(1, FILE), arrive(2, FILE), arrive(3, BOOK))
+    assert kinds(until(m, 2.3, at=0.1), 3) == [it.Forget, it.TurnBack]
+
+
+def test_drain_turns_newcomers_past_the_grace_away_and_answers_all_before_the_stop():
+    m = model()
+    m.batch(0.1, arrive(1, FILE), it.Leave(3.0))
+    assert it.Health(False, True) in m.sent
+    assert kinds(m.batch(1.0, arrive(2, FILE))) == [it.Start]
+    out = m.batch(1.2, arrive(3, FILE))
+    assert out == [it.TurnBack(3, 1.0, False)]
+    until(m, 3.05, at=1.2)
+    assert not any(sub["owed"] for sub in m.subs.values())
+
+
+def test_a_call_is_repeated_only_if_it_proved_never_run():
+    m = model()
+    m.batch(0.1, arrive(1, FILE), arrive(2, READ))
+    assert kinds(m.batch(0.2, it.AtCall(1), it.AtCall(2))) == [it.Call, it.Call]
+    assert kinds(m.batch(0.3, it.CallEnded(1, it.Outcome.REFUSED, 0.1))) == [it.Call]
+    assert kinds(m.batch(0.4, it.CallEnded(1, it.Outcome.RESET, 0.1))) == [it.WriteOff]
+    assert kinds(m.batch(0.5, it.CallEnded(2, it.Outcome.TIMED_OUT, 0.1))) == [it.Call]
+    assert kinds(m.batch(0.6, it.CallEnded(2, it.Outcome.TIMED_OUT, 0.1))) == [it.GoWithout]
+
+
+def test_calls_out_stay_under_the_share_with_given_up_ones_counted():
+    m = model(calls_share=2.5, cores=4)
+    m.batch(0.1, *[arrive(n, FILE) for n in range(1, 5)])
+    assert kinds(m.batch(0.2, *[it.AtCall(n) for n in range(1, 5)])).count(it.Call) == 2
+    assert kinds(m.batch(0.3, it.Gone(1), it.Ended(1, it.Outcome.CANCELLED, 0.2))) == []
+    assert kinds(m.batch(0.6, woken())).count(it.Call) == 1
+
+
+def test_a_cold_server_starts_fewer_and_none_pass_the_ceiling():
+    m = model(cold=True, halting=it.Halting.OFF)
+    m.rules.limit = 99.0
+    m.batch(0.1, *[arrive(n, left=2.0) for n in range(1, 30)])
+    assert sum(sub["at"] == "running" for sub in m.subs.values()) == 2
+
+
+def test_memory_goes_to_what_is_held_last():
+    m = model(memory=200.0)
+    m.batch(0.1, *[arrive(n, FILE, memory=15.0) for n in range(1, 25)])
+    assert kinds(m.sent).count(it.Start) == 1 and kinds(m.sent).count(it.TurnBack) > 10
+
+
+def test_a_tenant_past_its_allowance_goes_first():
+    m = model(halting=it.Halting.OFF)
+    m.batch(0.05, *[arrive(n, tenant=0, cost_hint=0.3) for n in range(1, 40)])
+    out = m.batch(0.1, *[arrive(n, tenant=1, cost_hint=0.3) for n in range(40, 42)])
+    assert it.TurnBack not in kinds(out, 40) + kinds(out, 41)
+
+
+def test_an_error_says_that_callers_need_not_go_on():
+    m = model(cores=1, halting=it.Halting.OFF)
+    m.batch(0.1, *[arrive(n, cost_hint=0.9) for n in range(1, 9)])
+    backs = [a for a in m.sent if isinstance(a, it.TurnBack)]
+    assert backs and all(a.final for a in backs)
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -62,7 +62,7 @@
 SWEEP = 0.05  # s between sweeps: a third of the shortest run seen, and below any answer slack met
 HIGH, LOW = 1.5, 1.0  # J a core: shortest first from half a core's worth waiting, until nothing need wait
 CUT, SLOW = 0.8, 2.0  # the design's factor and trigger
-MEMORY_RUN, MEMORY_ALL = 0.85, 0.95  # of memory: to start and for keys, and for all; the gap takes newcomers
+MEMORY_HOLD, MEMORY_RUN = 0.7, 0.85  # of memory: the first cuts the hold, the second bounds starts and keys
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
 CALLS_SAFE = 0.8  # of this server's share of calls out, as lingering ones are only guessed
 
@@ -126,8 +126,8 @@
                 self.FOR_ONE[type(e)](self, self.live[e.id], e)
         self.serve_calls()
         self.prune()
-        self.fill()
         self.keep_memory()
+        self.fill()
         return self.out
 
     def step(self, sub, given):
@@ -313,8 +313,8 @@
     # ---- what is known
 
     def expected_cost(self, workload, hint):
-        """A hint counts for as much as it has told of run times: by the slope of the logs, about the mean of the
-        workload. Without a hint that mean stands alone; before any run all are equal."""
+        """A hint counts for as much as it has told of run times: by the slope of the logs, about the mean of
+        the workload. Without a hint that mean stands alone; before any run all are equal."""
         n, x, y, xx, xy = self.hints[workload].read(self.now)
         # The prior of a half is worth four runs: a hint may err as widely as sizes spread, till told better.
         slope = (xy - x * y / n + 2.0) / (xx - x * x / n + 4.0) if n > 1 else 0.5
@@ -521,13 +521,12 @@
             self.step(sub, HALT)
 
     def keep_memory(self):
-        """Last guard: what is held goes, largest first, before memory runs out."""
+        """What is held goes, largest first, while there is still memory left to start what stays."""
         used = self.memory()
-        if used > MEMORY_ALL * self.s.memory:
-            for sub in sorted(self.live.values(), key=lambda sub: -sub.memory):
-                if sub.state == HELD and used > MEMORY_ALL * self.s.memory:
-                    used -= sub.memory
-                    self.step(sub, GIVE_UP)
+        for sub in sorted(self.live.values(), key=lambda sub: -sub.memory):
+            if used > MEMORY_HOLD * self.s.memory and sub.state == HELD:
+                used -= sub.memory
+                self.step(sub, GIVE_UP)
 
     def serve_calls(self):
         self.lingering = [until for until in self.lingering if until > self.now]
