--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -235,7 +235,7 @@
         sub.owed = False
         advice = self.s.longest_advice
         if self.stop_at is None:
-            advice = min(0.3, advice) * self.local_trouble()
+            advice = min(0.3, advice)
         self.out.append(TurnBack(sub.id, advice, self.stop_at is None))
 
     def do_refuse_repeat(self, sub):
