--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -235,7 +235,7 @@
         sub.owed = False
         advice = self.s.longest_advice
         if self.stop_at is None:
-            advice = min(0.3, advice)
+            advice = min(advice if self.local_trouble() else 0.3, advice)
         self.out.append(TurnBack(sub.id, advice, self.stop_at is None))
 
     def do_refuse_repeat(self, sub):
@@ -471,7 +471,7 @@
         rate = speed * max(self.limit, self.s.cores)
         ahead = sum(max(0.1 * sub.cost, sub.cost - sub.progress - speed * (self.now - sub.since))
                     for sub in self.live.values() if sub.state in ON_CORES)
-        start_ahead, idle = ahead, self.on_cores() == 0
+        start_ahead, idle, foresee = ahead, self.on_cores() == 0, self.pressed or self.local_trouble()
         for sub in self.order():
             if sub.state == PAUSED:
                 ahead += sub.cost - sub.progress
@@ -482,8 +482,8 @@
             calls = runs[2] / runs[3] if runs[3] > 0.5 else 0.0
             while True:
                 finish = max(ahead / rate, (ahead - start_ahead - sub.cost) / rate + sub.cost / speed) + calls
-                if self.now + finish * self.pressed <= sub.goal_by or (idle and len(kept) == 1 and
-                                                                       self.now < sub.goal_by):
+                probe = idle and len(kept) == 1 and self.now < sub.goal_by
+                if self.now + finish * foresee <= sub.goal_by or probe:
                     break
                 known = known or self.values()
                 victim = min(kept, key=lambda k: (self.value(k, known), -k.cost))
