--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -63,7 +63,6 @@
 HIGH, LOW = 1.5, 1.0  # J a core: shortest first from half a core's worth waiting, until nothing need wait
 CUT, SLOW = 0.8, 2.0  # the design's factor and trigger
 MEMORY_HOLD, MEMORY_RUN = 0.7, 0.85  # of memory: the first cuts the hold, the second bounds starts and keys
-FURTHER = 0.05  # share of further tries that is worth their reading, which can cost a quarter of a run
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
 CALLS_RATE, CALLS_SAVED = 0.55, 0.4  # of the share of calls: together under 1, so no window passes it
 
@@ -112,7 +111,7 @@
         self.tenant_asked = Fading(3.0, len(settings.tenants), now)
         self.tenant_cost = Fading(15.0, len(settings.tenants), now)
         self.tenant_won = Fading(15.0, len(settings.tenants), now)
-        self.tries = Fading(2.0, 2, now)  # submissions read, and those of them that are further tries
+        self.flow, self.level = Fading(1.0, 2, now), 0.0  # submissions read and turned back, for the free value
         self.longest = {}  # (caller, workload) -> the longest wait seen, by which later tries are told
         self.awake = False
 
@@ -171,8 +170,7 @@
             at = (e.caller, e.workload)
             self.longest[at] = max(self.longest.get(at, 0.0), left + e.waited)
             age = self.longest[at] - left - e.waited
-        tries = self.tries.read(self.now)
-        tries[0], tries[1] = tries[0] + 1, tries[1] + (e.retry or age > 0.02)
+        self.flow.read(self.now)[0] += 1
         goal = min(w.latency_goal + w.goal_stretch * sub.cost, w.cut_off)
         sub.goal_by = min(sub.reached - age + goal, sub.due)
         self.live[sub.id] = sub
@@ -222,6 +220,7 @@
                     not self.s.workloads[sub.workload].late_share):
                 self.step(sub, GIVE_UP)
         self.limit = max(self.s.cores, min(self.limit, self.crowd()))
+        self.say_level()
 
     FOR_SERVER = {it.Arrived: on_arrived, it.Leave: on_leave, it.Woken: on_woken}
     FOR_ONE = {it.Ended: on_ended, it.Gone: on_gone, it.CallEnded: on_call_ended,
@@ -242,13 +241,11 @@
 
     def refuse(self, sub):
         sub.owed = False
+        self.flow.read(self.now)[1] += 1
         advice = self.s.longest_advice
         if self.stop_at is None:
             advice = min(advice if self.local_trouble() else 0.3, advice)
-        # Others are pressed as well where their turned-back work comes here: then a further visit would only cost
-        # another reading. Where none comes, as in one hot site, it is left free to go on.
-        read, further = self.tries.read(self.now)
-        self.out.append(TurnBack(sub.id, advice, self.stop_at is None and further > FURTHER * read))
+        self.out.append(TurnBack(sub.id, advice, self.stop_at is None))
 
     def do_refuse_repeat(self, sub):
         first = self.live.get(sub.repeats)
@@ -553,3 +550,12 @@
                 continue
             if self.s.workloads[sub.workload].poorer_share > 0 and self.now + 0.5 > sub.goal_by:
                 self.step(sub, SKIP)
+
+    def say_level(self):
+        """The free value rises while much is turned back, so that what would be turned back is not read first."""
+        read, back = self.flow.read(self.now)
+        rise = back / read - 0.3 if read > 1 else -0.3
+        level = min(0.5, max(0.0, self.level + 0.1 * SWEEP * max(-1.0, min(1.0, 5 * rise))))
+        if self.s.saying is it.Saying.LEVEL and round(level, 2) != round(self.level, 2):
+            self.out.append(it.Say(round(level, 2)))
+        self.level = level
