--- a/valeturn/interface.py
+++ b/valeturn/interface.py
@@ -61,7 +61,6 @@
     workloads: tuple[Workload, ...]
     tenants: tuple[Tenant, ...] = ()
     servers: int = 1
-    callers: int = 1
     cores: int = 1
     memory: float = float("inf")
     run_memory_factor: float = 1.0
@@ -83,9 +82,6 @@
     longest_advice: float = 0.0
     by_work: bool = False  # revenue counts per unit of work
     over_share_worth: float = 1.0
-    weight_whole: float = 1.0
-    weight_workload: float = 0.0
-    weight_tenant: float = 0.0
 
 
 class Gauges(NamedTuple):
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -63,6 +63,7 @@
 HIGH, LOW = 1.5, 1.0  # J a core: shortest first from half a core's worth waiting, until nothing need wait
 CUT, SLOW = 0.8, 2.0  # the design's factor and trigger
 MEMORY_HOLD, MEMORY_RUN = 0.7, 0.85  # of memory: the first cuts the hold, the second bounds starts and keys
+BACK = 0.3  # share turned back from which reading it costs more than a level that errs (0.05 was too eager)
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
 CALLS_RATE, CALLS_SAVED = 0.55, 0.4  # of the share of calls: together under 1, so no window passes it
 
@@ -107,11 +108,8 @@
         # cost and time of runs that ended with no more on the cores than there are cores: the normal.
         # 60 s: a trouble of half a minute does not become normal, a lasting change does.
         self.calm = [Fading(60.0, 2, now) for _ in range(count)]
-        self.asked, self.won = Fading(15.0, count, now), Fading(15.0, count, now)
-        self.tenant_asked = Fading(3.0, len(settings.tenants), now)
-        self.tenant_cost = Fading(15.0, len(settings.tenants), now)
-        self.tenant_won = Fading(15.0, len(settings.tenants), now)
-        self.flow, self.level = Fading(1.0, 2, now), 0.0  # submissions read and turned back, for the free value
+        self.sent = Fading(3.0, len(settings.tenants), now)  # submissions by tenant; 3 s show a flood
+        self.flow, self.level = Fading(1.0, 2, now), 0.0  # submissions read and turned back; the free value
         self.longest = {}  # (caller, workload) -> the longest wait seen, by which later tries are told
         self.awake = False
 
@@ -174,10 +172,8 @@
         goal = min(w.latency_goal + w.goal_stretch * sub.cost, w.cut_off)
         sub.goal_by = min(sub.reached - age + goal, sub.due)
         self.live[sub.id] = sub
-        self.asked.read(self.now)[e.workload] += sub.cost
         if e.tenant is not None:
-            self.tenant_asked.read(self.now)[e.tenant] += 1
-            self.tenant_cost.read(self.now)[e.tenant] += sub.cost
+            self.sent.read(self.now)[e.tenant] += 1
         if e.repeats is not None and (w.effect is not Effect.UNREPEATABLE):
             self.step(sub, JOIN)
         elif self.late_for_drain(sub):
@@ -190,8 +186,6 @@
             return
         if sub.state == RUNNING and e.outcome is Outcome.DONE:
             self.learn(sub)
-        elif sub.state == JOINED and e.outcome is Outcome.DONE:
-            self.count_won(sub)
         self.step(sub, ENDED)
 
     def on_gone(self, sub, e):
@@ -382,7 +376,6 @@
         elif self.cores_idle() and any(
                 other.state == HELD for other in self.live.values()):
             self.limit += 1
-        self.count_won(sub)
 
     def cores_idle(self):
         """Cores idle though the limit was used up, at the last sweep: only then would one more run help. The
@@ -392,42 +385,15 @@
             return g.runnable < self.s.cores and self.limit_used
         return g.busy is not None and g.busy < 0.9 and self.limit_used
 
-    def count_won(self, sub):
-        if self.now <= sub.goal_by and sub.owed:
-            self.won.read(self.now)[sub.workload] += sub.cost
-            if sub.tenant is not None:
-                self.tenant_won.read(self.now)[sub.tenant] += sub.cost
-
-    def values(self):
-        """What a unit of work of a workload and of a tenant adds to the result: its revenue in the whole, and
-        more for the one that is served worst, so that no workload or tenant starves behind others."""
-        asked, won = self.asked.read(self.now), self.won.read(self.now)
-        revenue = [w.revenue for w in self.s.workloads]
-        whole = sum(a * r for a, r in zip(asked, revenue)) + 1e-9
-        by_workload = [self.s.weight_whole * r / whole for r in revenue]
-        self.favour(by_workload, asked, won, self.s.weight_workload)
-        asked, won = self.tenant_cost.read(self.now), self.tenant_won.read(self.now)
-        by_tenant = [0.0] * len(asked)
-        within = []
-        for index, rate in enumerate(self.tenant_asked.read(self.now)):
-            allowed = self.s.tenants[index].allowance / max(1, self.s.servers) * self.tenant_asked.life
-            within.append(min(1.0, allowed / rate) if rate > allowed else 1.0)
-        self.favour(by_tenant, [a * x for a, x in zip(asked, within)], won, self.s.weight_tenant)
-        return by_workload, by_tenant, [x + (1 - x) * self.s.over_share_worth for x in within]
-
-    @staticmethod
-    def favour(values, asked, won, weight):
-        shares = [w / a if a > 0.05 else 1.0 for a, w in zip(asked, won)]
-        least = min(shares, default=1.0)
-        for index, share in enumerate(shares):
-            if share < least + 0.05 and asked[index] > 0.05:
-                values[index] += weight / asked[index]
-
-    def value(self, sub, known):
-        by_workload, by_tenant, within = known
-        value = by_workload[sub.workload]
+    def value(self, sub):
+        """Revenue for a unit of work, less for what its tenant likely sends beyond its allowance. The fleet is
+        not seen, so this server's part of the allowance is an even one."""
+        value = self.s.workloads[sub.workload].revenue
         if sub.tenant is not None:
-            value = (value + by_tenant[sub.tenant]) * within[sub.tenant]
+            sent = self.sent.read(self.now)[sub.tenant] / self.sent.life
+            allowed = self.s.tenants[sub.tenant].allowance / max(1, self.s.servers)
+            within = min(1.0, allowed / max(1e-3, sent))
+            value *= within + (1 - within) * self.s.over_share_worth
         return value if self.s.by_work else value / max(1e-3, sub.cost)
 
     # ---- steps of a decision
@@ -478,7 +444,7 @@
     def prune(self):
         """Turns back what would be late: walks the hold in its order, and where a submission would miss its
         goal the one of least value up to there goes, the largest first among equals."""
-        speed, known, kept = self.speed(), None, []
+        speed, kept = self.speed(), []
         rate = speed * max(self.limit, self.s.cores)
         ahead = sum(max(0.1 * sub.cost, sub.cost - sub.progress - speed * (self.now - sub.since))
                     for sub in self.live.values() if sub.state in ON_CORES)
@@ -497,8 +463,7 @@
                 probe = idle and len(kept) == 1 and self.now < sub.goal_by
                 if self.now + finish * foresee <= sub.goal_by or probe:
                     break
-                known = known or self.values()
-                victim = min(kept, key=lambda k: (self.value(k, known), -k.cost))
+                victim = min(kept, key=lambda k: (self.value(k), -k.cost))
                 kept.remove(victim)
                 ahead -= victim.cost
                 self.step(victim, GIVE_UP)
@@ -552,9 +517,11 @@
                 self.step(sub, SKIP)
 
     def say_level(self):
-        """The free value rises while much is turned back, so that what would be turned back is not read first."""
+        """The free value rises while much is turned back, so that this is not read first. It moves the lower
+        ranks on from one hot server, and stops them at their callers where all are pressed. Slow, capped and
+        only past BACK: an eager one lives on its own effect, and keeps work from servers that idle again."""
         read, back = self.flow.read(self.now)
-        rise = back / read - 0.3 if read > 1 else -0.3
+        rise = back / read - BACK if read > 1 else -BACK
         level = min(0.5, max(0.0, self.level + 0.1 * SWEEP * max(-1.0, min(1.0, 5 * rise))))
         if self.s.saying is it.Saying.LEVEL and round(level, 2) != round(self.level, 2):
             self.out.append(it.Say(round(level, 2)))
--- a/valeturn/wirehost/wire.py
+++ b/valeturn/wirehost/wire.py
@@ -42,7 +42,6 @@
     def __init__(self, profile):
         domain = _get(profile, "domain", {})
         rules = _get(profile, "rules", {})
-        goal = _get(profile, "goal", {})
         allowed = _get(profile, "allowed", {})
         self.workloads = {}
         workloads = []
@@ -74,7 +73,6 @@
             workloads=tuple(workloads),
             tenants=tuple(tenants),
             servers=_get(profile, "servers", 1),
-            callers=_get(domain, "callers", 1),
             cores=_get(domain, "cpus", 1),
             memory=_get(domain, "heap_kb", float("inf")),
             run_memory_factor=_get(domain, "run_mem_factor", 1.0),
@@ -96,9 +94,6 @@
             longest_advice=_seconds(allowed, "max_retry_after_ms") if allowed.get("retry_after") else 0.0,
             by_work=profile.get("counted_by") == "work",
             over_share_worth=_get(profile, "over_share_worth", 1.0),
-            weight_whole=_get(goal, "whole", 1.0),
-            weight_workload=_get(goal, "worst_class", 0.0),
-            weight_tenant=_get(goal, "worst_tenant", 0.0),
         )
 
     def event(self, m):
