Advice as long as the share turned back lately, of the longest allowed

Cause: callers that seek the quickest or least busy server are drawn to one that turns much back, as it answers fast.

--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -235,10 +235,12 @@
 
     def refuse(self, sub):
         sub.owed = False
-        self.flow.read(self.now)[1] += 1
-        advice = self.s.longest_advice
-        if self.stop_at is None:
-            advice = min(advice if self.local_trouble() else 0.3, advice)
+        flow = self.flow.read(self.now)
+        flow[1] += 1
+        # The more is turned back, the longer callers should choose others: quick answers draw those that look
+        # for the quickest server, or the least busy one, to the one that turns most back.
+        away = 1.0 if self.stop_at is not None or self.local_trouble() else flow[1] / max(flow[0], flow[1])
+        advice = away * self.s.longest_advice
         self.out.append(TurnBack(sub.id, advice, self.stop_at is None))
 
     def do_refuse_repeat(self, sub):
@@ -386,8 +388,8 @@
         return g.busy is not None and g.busy < 0.9 and self.limit_used
 
     def value(self, sub):
-        """Revenue for a unit of work, less for what its tenant likely sends beyond its allowance. The fleet is
-        not seen, so this server's part of the allowance is an even one."""
+        """Revenue for a unit of work, less for what its tenant likely sends beyond its allowance. The fleet
+        is not seen, so this server's part of the allowance is an even one."""
         value = self.s.workloads[sub.workload].revenue
         if sub.tenant is not None:
             sent = self.sent.read(self.now)[sub.tenant] / self.sent.life
