Further tries of unknown age count half when something must go

Guards also against retry storms; harms a quick further try after a turn back elsewhere, only when pressed.

--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -84,7 +84,7 @@
 class Submission:
     __slots__ = ("id", "workload", "tenant", "memory", "cost", "hint", "due", "goal_by", "reached", "state",
                  "ran", "owed", "since", "progress", "called", "called_at", "reserved", "tries", "repeats",
-                 "keyed", "seq")
+                 "keyed", "seq", "retry")
 
 
 class Rules:
@@ -171,6 +171,7 @@
         self.flow.read(self.now)[0] += 1
         goal = min(w.latency_goal + w.goal_stretch * sub.cost, w.cut_off)
         sub.goal_by = min(sub.reached - age + goal, sub.due)
+        sub.retry = e.retry and e.left is None
         self.live[sub.id] = sub
         if e.tenant is not None:
             self.sent.read(self.now)[e.tenant] += 1
@@ -396,6 +397,8 @@
             allowed = self.s.tenants[sub.tenant].allowance / max(1, self.s.servers)
             within = min(1.0, allowed / max(1e-3, sent))
             value *= within + (1 - within) * self.s.over_share_worth
+        if sub.retry:
+            value *= 0.5  # of unknown age: half of them, say, can no longer make their goal
         return value if self.s.by_work else value / max(1e-3, sub.cost)
 
     # ---- steps of a decision
