--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -466,7 +466,7 @@
             while True:
                 finish = max(ahead / rate, (ahead - start_ahead - sub.cost) / rate + sub.cost / speed) + calls
                 probe = idle and len(kept) == 1 and self.now < sub.goal_by
-                if self.now + finish * foresee <= sub.goal_by or probe:
+                if self.now + 1.25 * finish * foresee <= sub.goal_by or probe:
                     break
                 victim = min(kept, key=lambda k: (self.value(k), -k.cost))
                 kept.remove(victim)
