--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -63,6 +63,7 @@
 HIGH, LOW = 1.5, 1.0  # J a core: shortest first from half a core's worth waiting, until nothing need wait
 CUT, SLOW = 0.8, 2.0  # the design's factor and trigger
 MEMORY_HOLD, MEMORY_RUN = 0.7, 0.85  # of memory: the first cuts the hold, the second bounds starts and keys
+SPREAD = 1.4  # foreseen times are taken longer, as sizes vary: between 1.25 and 1.6, which scored best
 BACK = 0.3  # share turned back from which reading it costs more than a level that errs (0.05 was too eager)
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
 CALLS_RATE, CALLS_SAVED = 0.55, 0.4  # of the share of calls: together under 1, so no window passes it
@@ -466,7 +467,7 @@
             while True:
                 finish = max(ahead / rate, (ahead - start_ahead - sub.cost) / rate + sub.cost / speed) + calls
                 probe = idle and len(kept) == 1 and self.now < sub.goal_by
-                if self.now + 1.25 * finish * foresee <= sub.goal_by or probe:
+                if self.now + SPREAD * finish * foresee <= sub.goal_by or probe:
                     break
                 victim = min(kept, key=lambda k: (self.value(k), -k.cost))
                 kept.remove(victim)
