--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -64,7 +64,6 @@
 CUT, SLOW = 0.8, 2.0  # the design's factor and trigger
 MEMORY_HOLD, MEMORY_RUN = 0.7, 0.85  # of memory: the first cuts the hold, the second bounds starts and keys
 SPREAD = 1.4  # foreseen times are taken longer, as sizes vary: between 1.25 and 1.6, which scored best
-STALL = 0.5  # s unread on the mean: a few times what a full hold's reading takes
 BACK = 0.3  # share turned back from which reading it costs more than a level that errs (0.05 was too eager)
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
 CALLS_RATE, CALLS_SAVED = 0.55, 0.4  # of the share of calls: together under 1, so no window passes it
@@ -111,8 +110,6 @@
         # 60 s: a trouble of half a minute does not become normal, a lasting change does.
         self.calm = [Fading(60.0, 2, now) for _ in range(count)]
         self.sent = Fading(3.0, len(settings.tenants), now)  # submissions by tenant; 3 s show a flood
-        # submissions read and how long they had waited unread, and whether health is said to be good
-        self.unread, self.well = Fading(3.0, 2, now), True
         self.flow, self.level = Fading(1.0, 2, now), 0.0  # submissions read and turned back; the free value
         self.longest = {}  # (caller, workload) -> the longest wait seen, by which later tries are told
         self.awake = False
@@ -173,8 +170,6 @@
             self.longest[at] = max(self.longest.get(at, 0.0), left + e.waited)
             age = self.longest[at] - left - e.waited
         self.flow.read(self.now)[0] += 1
-        unread = self.unread.read(self.now)
-        unread[0], unread[1] = unread[0] + 1, unread[1] + e.waited
         goal = min(w.latency_goal + w.goal_stretch * sub.cost, w.cut_off)
         sub.goal_by = min(sub.reached - age + goal, sub.due)
         sub.retry = e.retry and e.left is None
@@ -222,7 +217,6 @@
                 self.step(sub, GIVE_UP)
         self.limit = max(self.s.cores, min(self.limit, self.crowd()))
         self.say_level()
-        self.say_health()
 
     FOR_SERVER = {it.Arrived: on_arrived, it.Leave: on_leave, it.Woken: on_woken}
     FOR_ONE = {it.Ended: on_ended, it.Gone: on_gone, it.CallEnded: on_call_ended,
@@ -289,7 +283,8 @@
 
     def do_call(self, sub):
         """Sets aside the longest that the call can stand at the dependency; what it spares comes back."""
-        wait = max(0.01, min(sub.due - self.now, max(self.least_wait(), self.credit / 2)))
+        until = self.skip_at(sub) if self.can_skip(sub) else sub.due
+        wait = max(0.01, min(until - self.now, max(self.least_wait(), self.credit / 2)))
         sub.tries += 1
         sub.reserved = wait + self.s.call_linger
         sub.called_at, self.credit = self.now, self.credit - sub.reserved
@@ -323,7 +318,14 @@
 
     def settle_call(self, sub):
         """The call will not be made again: go on without it where that earns something, else write off."""
-        self.step(sub, SKIP if self.s.workloads[sub.workload].poorer_share > 0 else GIVE_UP)
+        self.step(sub, SKIP if self.can_skip(sub) else GIVE_UP)
+
+    def can_skip(self, sub):
+        return self.s.workloads[sub.workload].poorer_share > 0
+
+    def skip_at(self, sub):
+        """The last moment to go on without the call: from there the whole run again would end at the goal."""
+        return sub.goal_by - SPREAD * sub.cost / self.speed()
 
     # ---- what is known
 
@@ -469,7 +471,7 @@
             kept.append(sub)
             ahead += sub.cost
             runs = self.runs[sub.workload].read(self.now)
-            calls = runs[2] / runs[3] if runs[3] > 0.5 else 0.0
+            calls = runs[2] / runs[3] if runs[3] > 0.5 and not self.can_skip(sub) else 0.0
             while True:
                 finish = max(ahead / rate, (ahead - start_ahead - sub.cost) / rate + sub.cost / speed) + calls
                 probe = idle and len(kept) == 1 and self.now < sub.goal_by
@@ -521,12 +523,13 @@
         share, window = self.s.calls_share, self.s.calls_window
         more = CALLS_RATE * share * (self.now - self.credit_at)
         self.credit, self.credit_at = min(CALLS_SAVED * share * window, self.credit + more), self.now
+        # Those that cannot go without come first, as a slow dependency leaves credit for few.
         standing = [sub for sub in self.live.values() if sub.state == AT_CALL]
-        for sub in sorted(standing, key=lambda sub: sub.goal_by):
-            if self.credit >= self.least_wait() + self.s.call_linger and self.step(sub, CALL_OUT):
-                continue
-            if self.s.workloads[sub.workload].poorer_share > 0 and self.now + 0.5 > sub.goal_by:
+        for sub in sorted(standing, key=lambda sub: (self.can_skip(sub), sub.goal_by)):
+            if self.can_skip(sub) and self.now >= self.skip_at(sub):
                 self.step(sub, SKIP)
+            elif self.credit >= self.least_wait() + self.s.call_linger:
+                self.step(sub, CALL_OUT)
 
     def say_level(self):
         """The free value rises while much is turned back, so that this is not read first. It moves the lower
@@ -538,14 +541,3 @@
         if self.s.saying is it.Saying.LEVEL and round(level, 2) != round(self.level, 2):
             self.out.append(it.Say(round(level, 2)))
         self.level = level
-
-    def say_health(self):
-        """Bad while this server stalls: it reads late and its own runs take over twice as long as they did. Guards
-        against slow, hung or frozen machines whose callers go on sending; mere overload slows no run so much. It
-        could harm where all stall at once: callers then find nobody. It is good again once either sign is gone."""
-        read, waited = self.unread.read(self.now)
-        mean = waited / (read + 0.2)  # the prior lets a server that is sent nothing more get well
-        well = mean < (STALL if self.well else STALL / 2) or not self.local_trouble()
-        if well != self.well and self.stop_at is None:
-            self.well = well
-            self.out.append(it.Health(well, True))
