--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -325,7 +325,7 @@
 
     def skip_at(self, sub):
         """The last moment to go on without the call: from there the whole run again would end at the goal."""
-        return sub.goal_by - SPREAD * sub.cost / self.speed()
+        return sub.goal_by - sub.cost / self.speed()
 
     # ---- what is known
 
