A try's age is told by its caller's usual wait, found by majority

Cause: one odd long wait made all later first tries look old and past their goal; see docs/incidents.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -163,3 +163,12 @@
     call = [a for a in m.batch(0.2, it.AtCall(1), it.AtCall(2)) if isinstance(a, it.Call)]
     assert [a.id for a in call] == [2, 1] and 0.2 + call[1].wait < 1.1 - 0.2
     assert kinds(m.batch(0.9, it.CallEnded(1, it.Outcome.TIMED_OUT, 0.6))) == [it.GoWithout]
+
+
+def test_one_odd_long_wait_does_not_make_the_usual_ones_look_old():
+    m = model(cores=8)
+    for n in range(1, 6):
+        m.batch(0.1 * n, arrive(n, left=1.2), it.Ended(n - 1, it.Outcome.DONE, 0.1) if n > 1 else woken())
+    m.batch(0.6, arrive(6, left=2.9))
+    assert kinds(m.batch(0.7, arrive(7, left=1.2)), 7) == [it.Start]
+    assert kinds(m.batch(0.8, arrive(8, left=0.1)), 8) == [it.TurnBack]
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -111,7 +111,7 @@
         self.calm = [Fading(60.0, 2, now) for _ in range(count)]
         self.sent = Fading(3.0, len(settings.tenants), now)  # submissions by tenant; 3 s show a flood
         self.flow, self.level = Fading(1.0, 2, now), 0.0  # submissions read and turned back; the free value
-        self.longest = {}  # (caller, workload) -> the longest wait seen, by which later tries are told
+        self.usual = {}  # (caller, workload) -> the wait most seen and its votes, which tell later tries
         self.awake = False
 
     # ---- the way in
@@ -163,12 +163,17 @@
         sub.cost = self.expected_cost(e.workload, sub.hint)
         left = w.cut_off - e.waited if e.left is None else e.left
         sub.due = max(self.now, self.now + left)
-        # Nobody tells how old a try is: it is taken for as old as its wait is short of its caller's longest.
+        # Nobody tells how old a try is: it is as old as its wait is short of its caller's usual one. That is found
+        # by majority vote, as one odd long wait would make all others look old.
         age = 0.0
         if e.left is not None:
-            at = (e.caller, e.workload)
-            self.longest[at] = max(self.longest.get(at, 0.0), left + e.waited)
-            age = self.longest[at] - left - e.waited
+            usual, votes = self.usual.get((e.caller, e.workload), (left + e.waited, 0))
+            alike = abs(left + e.waited - usual) < 0.02
+            usual, votes = (usual, min(20, votes + 1)) if alike else (usual, votes - 1)
+            if votes < 0:
+                usual, votes = left + e.waited, 1
+            self.usual[e.caller, e.workload] = usual, votes
+            age = max(0.0, usual - left - e.waited)
         self.flow.read(self.now)[0] += 1
         goal = min(w.latency_goal + w.goal_stretch * sub.cost, w.cut_off)
         sub.goal_by = min(sub.reached - age + goal, sub.due)
