--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -163,7 +163,7 @@
         sub.cost = self.expected_cost(e.workload, sub.hint)
         left = w.cut_off - e.waited if e.left is None else e.left
         sub.due = max(self.now, self.now + left)
-        # Nobody tells how old a try is: it is as old as its wait is short of its caller's usual one. That is found
+        # Nobody tells how old a try is: as old as its wait is short of its caller's usual one. That is found
         # by majority vote, as one odd long wait would make all others look old.
         age = 0.0
         if e.left is not None:
