--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -172,3 +172,14 @@
     m.batch(0.6, arrive(6, left=2.9))
     assert kinds(m.batch(0.7, arrive(7, left=1.2)), 7) == [it.Start]
     assert kinds(m.batch(0.8, arrive(8, left=0.1)), 8) == [it.TurnBack]
+
+
+def test_health_goes_bad_while_the_server_stalls_and_good_again_once_it_does_not():
+    m = model(halting=it.Halting.OFF)
+    m.batch(0.1, arrive(1, left=1.0), arrive(2, left=1.0))
+    until(m, 3.0, at=0.1)
+    assert it.Health(False, True) not in m.sent
+    m.batch(3.0, arrive(3, waited=2.0, left=1.0), arrive(4, waited=2.0, left=1.0), woken())
+    assert it.Health(False, True) in m.sent
+    m.batch(3.1, it.Ended(1, it.Outcome.DONE, 3.0), it.Ended(2, it.Outcome.DONE, 3.0))
+    assert it.Health(True, True) in until(m, 20.0, at=3.1)
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -50,7 +50,6 @@
     (CALLING, GONE): (SPENT, None),
     (CALLING, ENDED): (OVER, None),
     (SPENT, ENDED): (OVER, None),
-    (SPENT, STOPPED): (OVER, None),
 }
 ON_CORES = (RUNNING, SPENT)
 CALL_INPUT = {
@@ -64,6 +63,7 @@
 CUT, SLOW = 0.8, 2.0  # the design's factor and trigger
 MEMORY_HOLD, MEMORY_RUN = 0.7, 0.85  # of memory: the first cuts the hold, the second bounds starts and keys
 SPREAD = 1.4  # foreseen times are taken longer, as sizes vary: between 1.25 and 1.6, which scored best
+STALL = 0.5  # s unread on the mean, a few times what reading takes when all cores are busy
 BACK = 0.3  # share turned back from which reading it costs more than a level that errs (0.05 was too eager)
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
 CALLS_RATE, CALLS_SAVED = 0.55, 0.4  # of the share of calls: together under 1, so no window passes it
@@ -81,11 +81,12 @@
             self.sums, self.at = [x * keep for x in self.sums], now
         return self.sums
 
+    def add(self, now, *amounts):
+        self.sums = [x + amount for x, amount in zip(self.read(now), amounts)]
+
 
 class Submission:
-    __slots__ = ("id", "workload", "tenant", "memory", "cost", "hint", "due", "goal_by", "reached", "state",
-                 "ran", "owed", "since", "progress", "called", "called_at", "reserved", "tries", "repeats",
-                 "keyed", "seq", "retry")
+    """One submission and what is known of it; its fields are set where it arrives and where it calls."""
 
 
 class Rules:
@@ -111,6 +112,7 @@
         self.calm = [Fading(60.0, 2, now) for _ in range(count)]
         self.sent = Fading(3.0, len(settings.tenants), now)  # submissions by tenant; 3 s show a flood
         self.flow, self.level = Fading(1.0, 2, now), 0.0  # submissions read and turned back; the free value
+        self.unread, self.well = Fading(3.0, 2, now), True  # submissions read, their wait unread; said health
         self.usual = {}  # (caller, workload) -> the wait most seen and its votes, which tell later tries
         self.awake = False
 
@@ -119,8 +121,7 @@
     def decide(self, now, events):
         self.now, self.out = now, []
         if not self.awake:
-            self.awake = True
-            self.out += [it.Health(True, True), it.Wake(SWEEP, 0)]
+            self.awake, self.out = True, [it.Health(True, True), it.Wake(SWEEP, 0)]
         for e in events:
             if type(e) in self.FOR_SERVER:
                 self.FOR_SERVER[type(e)](self, e)
@@ -157,8 +158,7 @@
         sub.state, sub.ran, sub.owed, sub.tries, sub.repeats = HELD, False, True, 0, e.repeats
         sub.called = sub.progress = 0.0
         sub.since, sub.reached, sub.keyed = self.now, self.now - e.waited, False
-        self.seq += 1
-        sub.seq = self.seq
+        sub.seq = self.seq = self.seq + 1
         sub.hint = math.log(max(1e-3, e.cost_hint)) if e.cost_hint else None
         sub.cost = self.expected_cost(e.workload, sub.hint)
         left = w.cut_off - e.waited if e.left is None else e.left
@@ -167,14 +167,13 @@
         # by majority vote, as one odd long wait would make all others look old.
         age = 0.0
         if e.left is not None:
-            usual, votes = self.usual.get((e.caller, e.workload), (left + e.waited, 0))
-            alike = abs(left + e.waited - usual) < 0.02
-            usual, votes = (usual, min(20, votes + 1)) if alike else (usual, votes - 1)
-            if votes < 0:
-                usual, votes = left + e.waited, 1
-            self.usual[e.caller, e.workload] = usual, votes
-            age = max(0.0, usual - left - e.waited)
+            wait = left + e.waited
+            usual, votes = self.usual.get((e.caller, e.workload), (wait, 0))
+            votes = min(20, votes + 1) if abs(wait - usual) < 0.02 else votes - 1
+            self.usual[e.caller, e.workload] = (usual, votes) if votes >= 0 else (wait, 1)
+            age = max(0.0, self.usual[e.caller, e.workload][0] - wait)
         self.flow.read(self.now)[0] += 1
+        self.unread.add(self.now, 1, e.waited)
         goal = min(w.latency_goal + w.goal_stretch * sub.cost, w.cut_off)
         sub.goal_by = min(sub.reached - age + goal, sub.due)
         sub.retry = e.retry and e.left is None
@@ -191,7 +190,7 @@
     def on_ended(self, sub, e):
         if e.outcome is Outcome.CANCELLED and self.step(sub, STOPPED):
             return
-        if sub.state == RUNNING and e.outcome is Outcome.DONE:
+        if sub.state in ON_CORES and e.outcome is Outcome.DONE:  # given up or not, or a stall is never seen
             self.learn(sub)
         self.step(sub, ENDED)
 
@@ -201,8 +200,7 @@
 
     def on_call_ended(self, sub, e):
         if e.outcome is Outcome.DONE:
-            sums = self.calls.read(self.now)
-            sums[0], sums[1] = sums[0] + e.took, sums[1] + 1
+            self.calls.add(self.now, e.took, 1)
         self.step(sub, CALL_INPUT[e.outcome])
 
     def on_leave(self, e):
@@ -222,6 +220,7 @@
                 self.step(sub, GIVE_UP)
         self.limit = max(self.s.cores, min(self.limit, self.crowd()))
         self.say_level()
+        self.say_health()
 
     FOR_SERVER = {it.Arrived: on_arrived, it.Leave: on_leave, it.Woken: on_woken}
     FOR_ONE = {it.Ended: on_ended, it.Gone: on_gone, it.CallEnded: on_call_ended,
@@ -234,9 +233,9 @@
         self.out.append(Start(sub.id))
 
     def do_turn_back(self, sub):
-        for other in list(self.live.values()):  # repeats that wait on it never ran either
-            if other.repeats == sub.id and other.state == JOINED:
-                self.step(other, GIVE_UP)
+        waiting = [one for one in self.live.values() if one.repeats == sub.id and one.state == JOINED]
+        for one in waiting:  # repeats of it never ran either
+            self.step(one, GIVE_UP)
         self.do_forget(sub)
         self.refuse(sub)
 
@@ -353,7 +352,7 @@
             cost, took = cost + sums[0], took + sums[1]
         best = self.best_speed()
         for sub in self.live.values():
-            if sub.state == RUNNING:
+            if sub.state in ON_CORES:
                 took += max(0.0, self.now - sub.since - 2 * sub.cost / best)
         return max(0.02, (cost + 0.5 * best) / (took + 0.5))
 
@@ -376,14 +375,11 @@
     def learn(self, sub):
         took = max(1e-3, self.now - sub.since - max(0.0, sub.called))
         cost = max(1e-3, sub.cost - sub.progress)
+        self.runs[sub.workload].add(self.now, cost, took, max(0.0, sub.called), 1)
         sums = self.runs[sub.workload].read(self.now)
-        for index, value in enumerate((cost, took, max(0.0, sub.called), 1.0)):
-            sums[index] += value
         if not sub.progress:
             x, y = sub.hint if sub.hint is not None else math.log(took), math.log(max(5e-3, took))
-            seen = self.hints[sub.workload].read(self.now)
-            for index, value in enumerate((1.0, x, y, x * x, x * y)):
-                seen[index] += value
+            self.hints[sub.workload].add(self.now, 1, x, y, x * x, x * y)
         calm = self.calm[sub.workload].read(self.now)
         if self.on_cores() <= self.s.cores:
             calm[0], calm[1] = calm[0] + cost, calm[1] + took
@@ -398,9 +394,8 @@
         """Cores idle though the limit was used up, at the last sweep: only then would one more run help. The
         moment's gauge is asked first; the mean one is half a second late and lets the limit overshoot."""
         g = self.gauges
-        if g.runnable is not None:
-            return g.runnable < self.s.cores and self.limit_used
-        return g.busy is not None and g.busy < 0.9 and self.limit_used
+        by_mean = g.busy is not None and g.busy < 0.9
+        return self.limit_used and (by_mean if g.runnable is None else g.runnable < self.s.cores)
 
     def value(self, sub):
         """Revenue for a unit of work, less for what its tenant likely sends beyond its allowance. The fleet
@@ -508,13 +503,12 @@
         """A newcomer under a quarter of the largest run takes its place; few at a time may be paused."""
         paused = sum(sub.state == PAUSED for sub in self.live.values())
         runs = [sub for sub in self.live.values() if sub.state == RUNNING and sub.owed]
-        if not held or not runs or paused * 4 >= self.s.cores:
-            return
-        speed = self.speed()
-        left, sub = max(((run.cost - run.progress - speed * (self.now - run.since), run) for run in runs),
-                        key=lambda pair: pair[0])
-        if held[0].cost < 0.25 * left and self.now + 2 * left / speed + 0.5 < sub.goal_by:
-            self.step(sub, HALT)
+        if held and runs and paused * 4 < self.s.cores:
+            speed = self.speed()
+            largest = max(runs, key=lambda sub: sub.cost - sub.progress - speed * (self.now - sub.since))
+            left = largest.cost - largest.progress - speed * (self.now - largest.since)
+            if held[0].cost < 0.25 * left and self.now + 2 * left / speed + 0.5 < largest.goal_by:
+                self.step(largest, HALT)
 
     def keep_memory(self):
         """What is held goes, largest first, while there is still memory left to start what stays."""
@@ -537,12 +531,20 @@
                 self.step(sub, CALL_OUT)
 
     def say_level(self):
-        """The free value rises while much is turned back, so that this is not read first. It moves the lower
-        ranks on from one hot server, and stops them at their callers where all are pressed. Slow, capped and
-        only past BACK: an eager one lives on its own effect, and keeps work from servers that idle again."""
+        """The free value moves lower ranks on from a hot server unread, and stops them where all are pressed.
+        Slow and capped: an eager one lives on its own effect and keeps work from servers that idle again."""
         read, back = self.flow.read(self.now)
         rise = back / read - BACK if read > 1 else -BACK
         level = min(0.5, max(0.0, self.level + 0.1 * SWEEP * max(-1.0, min(1.0, 5 * rise))))
         if self.s.saying is it.Saying.LEVEL and round(level, 2) != round(self.level, 2):
             self.out.append(it.Say(round(level, 2)))
         self.level = level
+
+    def say_health(self):
+        """Bad while this server stalls: reads late, and runs take twice as long as they did. Guards against
+        slow, hung and frozen machines; overload slows no run so much. Harms where all stall at once."""
+        read, waited = self.unread.read(self.now)  # the 0.2 lets a server that is sent nothing more get well
+        well = waited <= STALL * (read + 0.2) or self.speed() >= 0.5 * self.best_speed()
+        if well != self.well and self.stop_at is None:
+            self.out.append(it.Health(well, True))
+        self.well = well
