--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -183,3 +183,11 @@
     assert it.Health(False, True) in m.sent
     m.batch(3.1, it.Ended(1, it.Outcome.DONE, 3.0), it.Ended(2, it.Outcome.DONE, 3.0))
     assert it.Health(True, True) in until(m, 20.0, at=3.1)
+
+
+def test_a_much_smaller_newcomer_pauses_the_largest_run_whose_key_outlives_its_caller():
+    m = model(halting=it.Halting.PAUSE, cores=1)
+    m.batch(0.1, arrive(1, BOOK, cost_hint=0.5))
+    assert kinds(m.batch(0.11, arrive(2, cost_hint=0.05), arrive(3, cost_hint=0.05)), 1) == [it.Halt]
+    assert kinds(m.batch(0.12, it.Ended(1, it.Outcome.CANCELLED, 0.02)), 2) == [it.Start]
+    assert it.Forget not in kinds(m.batch(0.13, it.Gone(1)))
