--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -150,7 +150,7 @@
     assert it.TurnBack not in kinds(out, 40) + kinds(out, 41)
 
 
-def test_an_error_says_that_callers_need_not_go_on():
+def test_callers_are_asked_not_to_go_on_with_what_is_turned_back():
     m = model(cores=1, halting=it.Halting.OFF)
     m.batch(0.1, *[arrive(n, cost_hint=0.9) for n in range(1, 9)])
     backs = [a for a in m.sent if isinstance(a, it.TurnBack)]
--- a/valeturn/interface.py
+++ b/valeturn/interface.py
@@ -74,7 +74,6 @@
     cold: bool = False
     cold_speed: float = 1.0  # least share of its speed at a cold start
     cold_time: float = 0.0
-    has_dependency: bool = False
     calls_share: float = float("inf")
     calls_window: float = 0.0
     call_linger: float = 0.0
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 
 from . import interface as it
 from .interface import AnswerFrom, Effect, Forget, Halt, Halting, Outcome, Remember, Start, TurnBack, WriteOff
@@ -95,8 +94,7 @@
         self.halts = settings.halting is not Halting.OFF
         count = len(settings.workloads)
         self.live, self.out, self.seq = {}, [], 0
-        self.keys = deque()  # (until, id) of remembered ones, whose memory stays taken
-        self.forgotten = set()
+        self.keys = {}  # until when each remembered one's memory stays taken
         # call-seconds that may still be spent at the dependency, and when that was brought up to date
         self.credit, self.credit_at = CALLS_SAVED * settings.calls_share * settings.calls_window, now
         self.calls = Fading(10.0, 2, now)  # time and count of calls that ended well
@@ -157,7 +155,7 @@
         sub.id, sub.workload, sub.tenant, sub.memory = e.id, e.workload, e.tenant, e.memory
         sub.state, sub.ran, sub.owed, sub.tries, sub.repeats = HELD, False, True, 0, e.repeats
         sub.called = sub.progress = 0.0
-        sub.since, sub.reached, sub.keyed = self.now, self.now - e.waited, False
+        sub.since, sub.reached = self.now, self.now - e.waited
         sub.seq = self.seq = self.seq + 1
         sub.hint = math.log(max(1e-3, e.cost_hint)) if e.cost_hint else None
         sub.cost = self.expected_cost(e.workload, sub.hint)
@@ -257,9 +255,8 @@
             self.do_write_off(sub)
 
     def do_forget(self, sub):
-        if sub.keyed and not sub.ran:
-            self.forgotten.add(sub.id)
-            sub.keyed = False
+        if sub.id in self.keys and not sub.ran:
+            del self.keys[sub.id]
             self.out.append(Forget(sub.id))
 
     def do_write_off(self, sub):
@@ -356,6 +353,9 @@
                 took += max(0.0, self.now - sub.since - 2 * sub.cost / best)
         return max(0.02, (cost + 0.5 * best) / (took + 0.5))
 
+    def left_of(self, sub, speed):
+        return sub.cost - sub.progress - speed * (self.now - sub.since)
+
     def best_speed(self):
         sums = [fading.read(self.now) for fading in self.calm]
         start = self.cold_share()
@@ -370,7 +370,10 @@
 
     def local_trouble(self):
         """True when this server is worse than it should be, so that others can do what it cannot."""
-        return self.cold_share() < 1.0 or self.speed() < 0.5 * self.best_speed()
+        return self.cold_share() < 1.0 or self.runs_slow()
+
+    def runs_slow(self):
+        return self.speed() < 0.5 * self.best_speed()
 
     def learn(self, sub):
         took = max(1e-3, self.now - sub.since - max(0.0, sub.called))
@@ -380,9 +383,9 @@
         if not sub.progress:
             x, y = sub.hint if sub.hint is not None else math.log(took), math.log(max(5e-3, took))
             self.hints[sub.workload].add(self.now, 1, x, y, x * x, x * y)
-        calm = self.calm[sub.workload].read(self.now)
         if self.on_cores() <= self.s.cores:
-            calm[0], calm[1] = calm[0] + cost, calm[1] + took
+            self.calm[sub.workload].add(self.now, cost, took)
+        calm = self.calm[sub.workload].read(self.now)
         slow = sums[1] * calm[0] > SLOW * calm[1] * sums[0]
         if slow and self.limit > self.s.cores and self.now - self.cut_at > 1.0:
             self.limit, self.cut_at = max(self.s.cores, self.limit * CUT), self.now
@@ -416,9 +419,8 @@
         return self.leave_at is not None and sub.reached > self.leave_at + self.s.drain_grace - self.s.tick
 
     def memory(self):
-        while self.keys and self.keys[0][0] < self.now:
-            self.forgotten.discard(self.keys.popleft()[1])
-        total = (len(self.keys) - len(self.forgotten)) * self.s.key_memory
+        self.keys = {number: until for number, until in self.keys.items() if until >= self.now}
+        total = len(self.keys) * self.s.key_memory
         for sub in self.live.values():
             total += sub.memory * (1.0 if sub.state in (HELD, JOINED) else self.s.run_memory_factor)
         return total
@@ -429,8 +431,7 @@
         room = self.memory() + self.s.key_memory <= MEMORY_RUN * self.s.memory
         if room and lasting > 0:
             lasting += 2 * self.s.tick
-            sub.keyed = True
-            self.keys.append((self.now + lasting, sub.id))
+            self.keys[sub.id] = self.now + lasting
             self.out.append(Remember(sub.id, lasting))
         elif w.effect is Effect.DEDUPLICATED:  # never run unmarked
             self.step(sub, GIVE_UP)
@@ -443,7 +444,7 @@
 
     def order(self):
         """The design's two modes: arrival order, or least expected remaining cost first."""
-        waiting = [sub for sub in self.live.values() if sub.state in (HELD, PAUSED) and sub.owed]
+        waiting = [sub for sub in self.live.values() if sub.state in (HELD, PAUSED)]
         j = len(waiting) + sum(sub.state == RUNNING for sub in self.live.values())
         if j > HIGH * self.s.cores:
             self.pressed = True
@@ -460,7 +461,7 @@
         goal the one of least value up to there goes, the largest first among equals."""
         speed, kept = self.speed(), []
         rate = speed * max(self.limit, self.s.cores)
-        ahead = sum(max(0.1 * sub.cost, sub.cost - sub.progress - speed * (self.now - sub.since))
+        ahead = sum(max(0.1 * sub.cost, self.left_of(sub, speed))
                     for sub in self.live.values() if sub.state in ON_CORES)
         start_ahead, idle, order = ahead, self.on_cores() == 0, self.order()
         foresee = self.pressed or self.local_trouble()
@@ -505,8 +506,8 @@
         runs = [sub for sub in self.live.values() if sub.state == RUNNING and sub.owed]
         if held and runs and paused * 4 < self.s.cores:
             speed = self.speed()
-            largest = max(runs, key=lambda sub: sub.cost - sub.progress - speed * (self.now - sub.since))
-            left = largest.cost - largest.progress - speed * (self.now - largest.since)
+            largest = max(runs, key=lambda sub: self.left_of(sub, speed))
+            left = self.left_of(largest, speed)
             if held[0].cost < 0.25 * left and self.now + 2 * left / speed + 0.5 < largest.goal_by:
                 self.step(largest, HALT)
 
@@ -544,7 +545,7 @@
         """Bad while this server stalls: reads late, and runs take twice as long as they did. Guards against
         slow, hung and frozen machines; overload slows no run so much. Harms where all stall at once."""
         read, waited = self.unread.read(self.now)  # the 0.2 lets a server that is sent nothing more get well
-        well = waited <= STALL * (read + 0.2) or self.speed() >= 0.5 * self.best_speed()
+        well = waited <= STALL * (read + 0.2) or not self.runs_slow()
         if well != self.well and self.stop_at is None:
             self.out.append(it.Health(well, True))
         self.well = well
--- a/valeturn/wirehost/wire.py
+++ b/valeturn/wirehost/wire.py
@@ -86,7 +86,6 @@
             cold=bool(_get(domain, "cold", False)),
             cold_speed=_get(rules, "start_capacity", 1.0),
             cold_time=_seconds(rules, "cold_ms"),
-            has_dependency=_get(domain, "below", "off") != "off",
             calls_share=_get(domain, "calls_out", float("inf")),
             calls_window=_seconds(domain, "calls_over_ms"),
             call_linger=_seconds(domain, "linger_ms"),
