--- a/valeturn/__init__.py
+++ b/valeturn/__init__.py
@@ -1,1 +1,3 @@
-"""Admission and scheduling decisions for servers that stand behind given balancers."""
+"""Admission and scheduling decisions for servers behind balancers that cannot be changed."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/valeturn/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program round the rest: configuration, log, counters, command line."""
--- /dev/null
+++ b/valeturn/routing/core.py
@@ -0,0 +1,451 @@
+"""Owns the module: takes all that is due, has it decide once, carries its actions out in order.
+
+Decides nothing. What is kept of a submission here is what carrying out needs: where its answer goes, how far
+its run and its call have come, and what of that is in doubt while the link to the executor is broken.
+"""
+
+from __future__ import annotations
+
+import heapq
+import time
+
+from .. import interface as it
+from ..protocol import executor as lines
+from ..protocol import frames
+from ..transport.scheduler import Mailbox
+from . import messages as msg
+from .executor import REPLAY_END
+from .repeats import Repeats
+
+MOST_MESSAGES = 16384  # in the queue: more than all submissions that may be open; putters wait past it
+MOST_OPEN = 8192  # submissions: 4 KB each, 32 MB of the process's 192; newcomers past it are turned back
+GAUGES_AHEAD = 0.02  # s before a wake-up that its gauges are asked for: several round trips on one machine
+GAUGES_LAST = 0.3  # s that gauges count as the moment's: three sweeps, so that one late answer is bridged
+CHECK_PATIENCE = 1.0  # s for a deep check: what takes longer is no good server either
+
+ENDS = {lines.End.DONE: it.Outcome.DONE, lines.End.FAILED: it.Outcome.ERROR,
+        lines.End.STOPPED: it.Outcome.CANCELLED, lines.End.NOTHING: it.Outcome.MOOT}
+# How far a run has come: not asked for; wanted while there is no link; sent, and not yet known to have
+# reached the executor; known to. DOUBTED: sent on a link that broke, and must not run twice.
+IDLE, WANTED, SENT, REACHED, DOUBTED = range(5)
+
+
+class Open:
+    """A submission that is owed an answer, runs, or both."""
+
+    __slots__ = ("answered", "attempt", "body", "call", "connection", "halted", "halting", "joined", "key",
+                 "notice", "number", "reply", "run", "run_at", "sent_mark", "stream", "w", "workload")
+
+    def __init__(self, number, connection, stream, call, workload, w, body, key):
+        self.number, self.connection, self.stream, self.call = number, connection, stream, call
+        self.workload, self.w, self.body, self.key = workload, w, body, key
+        self.answered, self.run, self.run_at, self.sent_mark, self.halting = False, IDLE, 0.0, 0, False
+        self.notice, self.reply, self.attempt, self.joined, self.halted = None, None, 0, None, 0
+
+
+class Core:
+    def __init__(self, scheduler, names, make_rules, link, ledger, gateways, reporter, count, log):
+        self.scheduler, self.make_rules = scheduler, make_rules
+        self.names, self.settings = names, names.settings
+        self.link, self.ledger, self.gateways, self.reporter = link, ledger, gateways, reporter
+        self.count, self.log = count, log
+        self.mailbox = Mailbox(scheduler, MOST_MESSAGES)
+        self.rules, self.numbers = None, 0
+        self.open, self.by_call, self.by_stream, self.joiners = {}, {}, {}, {}
+        self.repeats, self.batch = Repeats(), {}
+        self.wakes, self.asked = [], 0.0
+        self.gauges, self.gauged_at, self.mark, self.seen_mark = (), -1.0, 0, 0
+        self.good, self.shallow, self.load, self.checks = False, True, None, {}
+        self.leaving = False
+        self.events = []
+
+    # ---- the loop
+
+    def put(self, message):
+        self.mailbox.put(message)
+
+    def run(self):
+        while True:
+            self.turn(self.mailbox.take_all(self.next_due()))
+
+    def next_due(self):
+        if not self.wakes or self.rules is None:
+            return None
+        when = self.wakes[0][0]
+        return max(0.0, (when if self.asked >= when else when - GAUGES_AHEAD) - self.scheduler.clock())
+
+    def turn(self, taken):
+        now = self.scheduler.clock()
+        self.events, self.batch = [], {}
+        for message in taken:
+            self.TAKES[type(message)](self, now, message)
+        self.meet_wakes(now)
+        if self.rules is None or not self.events:
+            return
+        self.count("core.turns")
+        try:
+            actions = self.rules.decide(now, self.events)
+        except Exception as error:
+            self.module_failed(now, error)
+            return
+        for action in actions:
+            self.DOES[type(action)](self, now, action)
+
+    def meet_wakes(self, now):
+        if self.wakes and self.asked < self.wakes[0][0] <= now + GAUGES_AHEAD:
+            self.asked = self.wakes[0][0]
+            self.mark += 1
+            self.link.send(lines.gauge(str(self.mark)))
+        due = {}
+        while self.wakes and self.wakes[0][0] <= now:
+            due[heapq.heappop(self.wakes)[1]] = None  # after a pause one wake-up of a mark stands for all
+        for mark in due:
+            fresh = now - self.gauged_at <= GAUGES_LAST
+            self.events.append(it.Woken(mark, self.names.gauges(self.gauges if fresh else ())))
+        if due:
+            self.repeats.expire(now)
+            self.ledger.drop_unused()
+
+    def module_failed(self, now, error):
+        """Answers what is owed as truthfully as is known, and goes on with a module that knows nothing."""
+        self.log("module_failed", error=error)
+        self.count("core.module_failed")
+        for sub in list(self.open.values()):
+            if sub.run == IDLE and sub.w.effect is not it.Effect.DEDUPLICATED:
+                self.answer(sub, frames.turned_back(sub.stream, load=self.load), "turned_back")
+            else:
+                self.answer(sub, frames.written_off(sub.stream, load=self.load), "written_off")
+            self.ledger.give_up(sub.number)
+            if sub.run != IDLE and self.settings.halting is not it.Halting.OFF:
+                self.link.send(lines.halt(sub.call))
+            self.drop(sub)
+        self.rules, self.wakes = self.make_rules(False, 0.0), [(now, 0)]
+
+    # ---- what comes in
+
+    def on_link_up(self, now, m):
+        self.count("executor.joined")
+        if self.rules is None:
+            self.log("welcome", cold=m.cold, age=m.age, told_cold=self.settings.cold)
+            self.rules = self.make_rules(m.cold, m.age)
+            self.wakes = [(now, 0)]
+            self.good = True
+            self.reporter.tell(True)
+
+    def on_link_down(self, now, m):
+        for sub in self.open.values():
+            if sub.run == SENT:
+                sub.run = DOUBTED
+
+    def on_arrival(self, now, m):
+        s, connection = m.submission, m.connection
+        if self.rules is None or len(self.open) >= MOST_OPEN or s.call in self.by_call:
+            self.count("in.unreadable.over_all" if self.rules is not None else "in.too_early")
+            connection.answer(s.stream, frames.turned_back(s.stream))
+            return
+        self.numbers += 1
+        number, workload = self.numbers, self.names.workloads[s.workload]
+        w = self.settings.workloads[workload]
+        waited = max(0.0, time.time() - s.reached)
+        key = self.key_of(s, workload, w)
+        sub = Open(number, connection, s.stream, s.call, s.workload, w, s.body, key)
+        repeats = None
+        if key is not None:
+            repeats = self.repeats.repeated(key, now - waited) or self.batch.get(key)
+            self.batch.setdefault(key, number)
+        self.open[number] = self.by_call[s.call] = self.by_stream[connection, s.stream] = sub
+        left = None if s.wait is None or not self.names.passes_wait else max(0.0, s.wait - waited)
+        self.events.append(it.Arrived(
+            id=number, workload=workload, tenant=self.names.tenants.get(s.tenant), waited=waited, rank=s.rank,
+            retry=s.retry, subject=s.subject, caller=s.caller, memory=s.memory, left=left, repeats=repeats,
+            cost_hint=s.hint))
+
+    def key_of(self, s, workload, w):
+        """What a repeat shares with the one it repeats: the mark of a deduplicated one, else what is read."""
+        if w.effect is it.Effect.DEDUPLICATED:
+            return None if s.mark is None else (workload, s.mark)
+        reads = w.effect is it.Effect.IDEMPOTENT and self.settings.fresh_for > 0
+        return (workload, s.subject) if reads and s.subject is not None else None
+
+    def on_withdrawal(self, now, m):
+        sub = self.by_stream.get((m.connection, m.stream))
+        if sub is not None:
+            self.gone(sub)
+
+    def on_connection_ended(self, now, m):
+        for sub in [sub for sub in self.open.values() if sub.connection is m.connection]:
+            self.gone(sub)
+
+    def gone(self, sub):
+        """Its caller left: nothing is owed, and the module hears it."""
+        if not sub.answered:
+            self.count("out.callers_gone")
+            self.forget_caller(sub)
+            self.events.append(it.Gone(sub.number))
+            if sub.run == IDLE:
+                self.drop(sub)
+
+    def on_check(self, now, m):
+        if self.shallow or not m.deep or self.rules is None or not self.good:
+            self.answer_check(m.connection, m.stream, self.good)
+            return
+        self.mark += 1
+        mark = f"check{self.mark}"
+        self.checks[mark] = (m.connection, m.stream)
+        if not self.link.send(lines.diagnose(mark)):
+            self.check_over(mark, False)
+        self.scheduler.call_later(CHECK_PATIENCE, self.check_over, mark, False)
+
+    def on_diagnosed(self, now, m):
+        self.check_over(m.mark, m.good)
+
+    def check_over(self, mark, good):
+        connection, stream = self.checks.pop(mark, (None, None))
+        if connection is not None:
+            self.answer_check(connection, stream, good and self.good)
+
+    def answer_check(self, connection, stream, good):
+        self.count("out.checks_good" if good else "out.checks_bad")
+        connection.answer(stream, frames.health(stream, good, self.load))
+
+    def on_gauged(self, now, m):
+        if m.mark == REPLAY_END:
+            self.resume_runs(now)
+            return
+        self.gauges, self.gauged_at = m.values, now
+        # Commands are read in order: what was sent before these gauges were asked for has arrived there.
+        self.seen_mark = int(m.mark) if m.mark.isdigit() else self.seen_mark
+        for sub in self.open.values():
+            if sub.run == SENT and sub.sent_mark < self.seen_mark:
+                sub.run = REACHED
+            if sub.reply is not None and sub.reply[0] < self.seen_mark:
+                sub.reply = None
+            if sub.run == DOUBTED and sub.halted and sub.halted < self.seen_mark:
+                self.run_over(now, sub, it.Outcome.CANCELLED, 0.0, None)  # no run was there to be stopped
+
+    def resume_runs(self, now):
+        """After a join, when all missed notices were read: sends again what may be sent again."""
+        for sub in list(self.open.values()):
+            if sub.run == WANTED or sub.run == DOUBTED and sub.w.effect is it.Effect.IDEMPOTENT:
+                self.send_start(now, sub)
+            if sub.reply is not None:
+                _, line, instead = sub.reply
+                self.link.send(instead or line)
+            if sub.halting:
+                self.send_halt(sub)
+
+    def on_run_over(self, now, m):
+        sub = self.by_call.get(m.call)
+        if sub is None or sub.run == IDLE:
+            self.count("executor.run_of_none")
+            return
+        outcome = ENDS[m.end]
+        if outcome is it.Outcome.CANCELLED and not sub.halting and not sub.answered:
+            # Ended unasked: its caller has gone, though nobody said so. One answer does no harm.
+            self.events.append(it.Gone(sub.number))
+            self.answer(sub, frames.written_off(sub.stream, load=self.load), "unasked_end")
+        self.run_over(now, sub, outcome, m.took, m.result)
+
+    def run_over(self, now, sub, outcome, took, result):
+        self.count("run." + outcome.name.lower())
+        self.ledger.give_up(sub.number)
+        sub.run, sub.notice, sub.reply, sub.halting, sub.halted = IDLE, None, None, False, 0
+        self.events.append(it.Ended(sub.number, outcome, took))
+        if outcome is it.Outcome.DONE:
+            self.answer(sub, frames.delivered(sub.stream, result, self.load), "delivered")
+        elif outcome is not it.Outcome.CANCELLED:
+            self.answer(sub, frames.written_off(sub.stream, load=self.load), "written_off")
+        if outcome is not it.Outcome.CANCELLED or sub.answered:
+            self.end_joiners(now, sub, result if outcome is it.Outcome.DONE else None)
+            self.drop(sub)
+
+    def end_joiners(self, now, sub, result):
+        self.repeats.ended(sub.number, result)
+        for number in self.joiners.pop(sub.number, ()):
+            self.end_joined(self.open.get(number), result)
+
+    def end_joined(self, sub, result):
+        if sub is None or sub.answered:
+            return
+        if result is None:
+            self.answer(sub, frames.written_off(sub.stream, load=self.load), "written_off")
+        else:
+            self.answer(sub, frames.delivered(sub.stream, result, self.load), "delivered")
+        outcome = it.Outcome.ERROR if result is None else it.Outcome.DONE
+        self.put_later(msg.CallOver(sub.number, -1, outcome, 0.0, b""))
+
+    def put_later(self, message):
+        """For what a turn tells the module in the next one."""
+        self.scheduler.spawn(self.put, message, name="later")
+
+    def on_call_wanted(self, now, m):
+        sub = self.by_call.get(m.call)
+        if sub is None or sub.run == IDLE:
+            self.count("executor.call_of_none")
+            return
+        sub.run, sub.notice, sub.reply = REACHED, (m.number, m.body), None
+        sub.attempt += 1
+        self.count("executor.calls_wanted")
+        self.events.append(it.AtCall(sub.number))
+
+    def on_call_over(self, now, m):
+        sub = self.open.get(m.number)
+        if m.attempt < 0:  # a repeat that was answered from another's result
+            if sub is not None:
+                self.events.append(it.Ended(m.number, m.outcome, m.took))
+                self.drop(sub)
+            return
+        if sub is None or sub.notice is None or sub.attempt != m.attempt:
+            self.count("ledger.reply_of_none")
+            return
+        if m.outcome is it.Outcome.DONE:
+            self.send_reply(sub, lines.reply(sub.call, m.body))
+        self.events.append(it.CallEnded(m.number, m.outcome, m.took))
+
+    def send_reply(self, sub, line):
+        """Kept until the executor is known to have it. A reply that may have come through before a link broke
+        must not meet the run's next call: going on without this one names its notice and can't."""
+        instead = lines.go_without(sub.call, sub.notice[0]) if sub.w.poorer_share > 0 else None
+        sub.reply, sub.notice = (self.mark, line, instead), None
+        sub.attempt += 1
+        self.link.send(line)
+
+    def on_not_carried_out(self, now, m):
+        self.count("executor.bad." + m.command.lower())
+        self.log("not_carried_out", command=m.command, call=m.call)
+        sub = self.by_call.get(m.call)
+        if sub is not None and m.command == "EXEC" and sub.run != IDLE:
+            self.run_over(now, sub, it.Outcome.MOOT, 0.0, None)
+
+    def on_leaving(self, now, m):
+        self.leaving = True
+        self.reporter.tell(False)
+        self.events.append(it.Leave(m.left))
+
+    TAKES = {
+        msg.LinkUp: on_link_up, msg.LinkDown: on_link_down, msg.Arrival: on_arrival,
+        msg.Withdrawal: on_withdrawal, msg.ConnectionEnded: on_connection_ended, msg.Check: on_check,
+        msg.CallOver: on_call_over, msg.Leaving: on_leaving, lines.RunOver: on_run_over,
+        lines.CallWanted: on_call_wanted, lines.Gauged: on_gauged, lines.Diagnosed: on_diagnosed,
+        lines.NotCarriedOut: on_not_carried_out,
+    }
+
+    # ---- answers
+
+    def answer(self, sub, data, kind):
+        """The one final answer, unless its caller has one or has gone."""
+        if not sub.answered:
+            self.count("out." + kind)
+            sub.connection.answer(sub.stream, data)
+            self.forget_caller(sub)
+
+    def forget_caller(self, sub):
+        sub.answered = True
+        self.by_stream.pop((sub.connection, sub.stream), None)
+
+    def drop(self, sub):
+        self.open.pop(sub.number, None)
+        self.by_call.pop(sub.call, None)
+        self.by_stream.pop((sub.connection, sub.stream), None)
+
+    # ---- what the module asks for
+
+    def do_start(self, now, a):
+        sub = self.open.get(a.id)
+        if sub is None or sub.answered or sub.run != IDLE:
+            if sub is None:  # over already: the module hears that nothing was started
+                self.put_later(msg.CallOver(a.id, 0, it.Outcome.MOOT, 0.0, b""))
+            return
+        self.send_start(now, sub)
+
+    def send_start(self, now, sub):
+        sub.run_at, sub.sent_mark = now, self.mark
+        sub.run = SENT if self.link.send(lines.start(sub.call, sub.workload, sub.body)) else WANTED
+
+    def do_halt(self, now, a):
+        sub = self.open.get(a.id)
+        if sub is None or sub.run == IDLE:
+            return
+        if sub.run == WANTED:  # never sent
+            sub.run = IDLE
+            self.put_later(lines.RunOver(0, sub.call, lines.End.STOPPED, 0.0, b""))
+        sub.halting = True
+        self.send_halt(sub)
+
+    def send_halt(self, sub):
+        sub.halted = self.mark + 1 if self.link.send(lines.halt(sub.call)) else 0
+
+    def do_turn_back(self, now, a):
+        sub = self.open.get(a.id)
+        if sub is not None:
+            self.answer(sub, frames.turned_back(sub.stream, a.retry_in, a.final, self.load), "turned_back")
+            self.over_unless_running(now, sub)
+
+    def do_write_off(self, now, a):
+        sub = self.open.get(a.id)
+        if sub is not None:
+            self.answer(sub, frames.written_off(sub.stream, load=self.load), "written_off")
+            if sub.notice is not None:
+                self.ledger.give_up(sub.number)
+            self.over_unless_running(now, sub)
+
+    def over_unless_running(self, now, sub):
+        if sub.run == IDLE:
+            self.end_joiners(now, sub, None)
+            self.drop(sub)
+
+    def do_call(self, now, a):
+        sub = self.open.get(a.id)
+        if sub is not None and sub.notice is not None:
+            sub.attempt += 1
+            self.count("out.calls")
+            self.ledger.call(sub.number, sub.attempt, sub.call, a.wait, sub.notice[1])
+
+    def do_go_without(self, now, a):
+        sub = self.open.get(a.id)
+        if sub is not None and sub.notice is not None:
+            self.count("out.without_call")
+            self.ledger.give_up(sub.number)
+            self.send_reply(sub, lines.go_without(sub.call, sub.notice[0]))
+
+    def do_remember(self, now, a):
+        sub = self.open.get(a.id)
+        if sub is not None and sub.key is not None and not self.repeats.keep(a.id, sub.key, now + a.lasting):
+            self.count("repeats.no_room")
+
+    def do_forget(self, now, a):
+        self.repeats.remove(a.id)
+
+    def do_answer_from(self, now, a):
+        sub = self.open.get(a.id)
+        if sub is None:
+            return
+        first = next((e.repeats for e in self.events if isinstance(e, it.Arrived) and e.id == a.id), None)
+        entry = self.repeats.by_number.get(first)
+        if first in self.open:
+            self.joiners.setdefault(first, []).append(a.id)
+        else:
+            self.end_joined(sub, entry.result if entry is not None else None)
+
+    def do_health(self, now, a):
+        self.good, self.shallow = a.good, a.shallow
+        self.reporter.tell(a.good)
+
+    def do_say(self, now, a):
+        self.load = a.value
+
+    def do_close_idle(self, now, a):
+        self.gateways.idle_after = a.after
+
+    def do_wake(self, now, a):
+        heapq.heappush(self.wakes, (now + a.after, a.mark))
+
+    def do_note(self, now, a):
+        self.log("note", text=a.text)
+
+    DOES = {
+        it.Start: do_start, it.Halt: do_halt, it.TurnBack: do_turn_back, it.WriteOff: do_write_off,
+        it.Call: do_call, it.GoWithout: do_go_without, it.Remember: do_remember, it.Forget: do_forget,
+        it.AnswerFrom: do_answer_from, it.Health: do_health, it.Say: do_say, it.CloseIdle: do_close_idle,
+        it.Wake: do_wake, it.Note: do_note,
+    }
--- /dev/null
+++ b/valeturn/routing/messages.py
@@ -0,0 +1,53 @@
+"""What the tasks put into the owner's queue, beside the protocol's own values."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..interface import Outcome
+
+
+class Arrival(NamedTuple):
+    connection: object
+    submission: object  # protocol.frames.Submitted
+    read_at: float  # Unix seconds
+
+
+class Withdrawal(NamedTuple):
+    connection: object
+    stream: int
+
+
+class ConnectionEnded(NamedTuple):
+    connection: object
+
+
+class Check(NamedTuple):
+    connection: object
+    stream: int
+    deep: bool
+
+
+class LinkUp(NamedTuple):
+    cold: bool
+    age: float
+
+
+class LinkDown(NamedTuple):
+    pass
+
+
+class CallOver(NamedTuple):
+    number: int  # of the submission
+    attempt: int
+    outcome: Outcome
+    took: float
+    body: bytes
+
+
+class CheckLate(NamedTuple):
+    mark: str
+
+
+class Leaving(NamedTuple):
+    left: float
--- /dev/null
+++ b/valeturn/routing/naming.py
@@ -0,0 +1,58 @@
+"""Reports to the name service, all the time the server lives, whatever else goes on."""
+
+from __future__ import annotations
+
+from ..protocol import http
+from ..transport.chance import Backoff
+from ..transport.streams import Trouble, connect
+
+EVERY = 0.7  # s between reports: four fit into the 3 s after which a silent server leaves the list
+PATIENCE = 0.6  # s for one: a hung report leaves time for the next within the 3 s
+
+
+class Reporter:
+    def __init__(self, scheduler, address, name, chance, count):
+        self.scheduler, self.address, self.name, self.count = scheduler, address, name, count
+        self.backoff = Backoff(chance, 0.05, EVERY)
+        self.host, self.stream, self.serving = f"{address[0]}:{address[1]}", None, False
+        self.task = scheduler.spawn(self.run, name="naming")
+
+    def tell(self, serving):
+        """Reports a change at once."""
+        if serving != self.serving:
+            self.serving = serving
+            self.scheduler.wake(self.task) if self.idle else None
+
+    idle = False
+
+    def run(self):
+        while True:
+            good = self.report()
+            self.count("naming.reports" if good else "naming.failed")
+            if good:
+                self.backoff.reset()
+            self.idle = True
+            self.scheduler.wait(EVERY if good else self.backoff.next())
+            self.idle = False
+
+    def report(self):
+        until = self.scheduler.clock() + PATIENCE
+        if self.stream is not None and not self.stream.quiet():
+            self.stream.close()
+            self.stream = None
+        if self.stream is None:
+            made = connect(self.scheduler, self.address, PATIENCE)
+            if isinstance(made, Trouble):
+                return False
+            self.stream = made
+        body = b'{"serving":"%s"}' % (b"yes" if self.serving else b"no")
+        head = [("Content-Type", "application/json")]
+        self.stream.write(http.request("PUT", f"/ns/hosts/{self.name}", self.host, head, body))
+        answer, decoder = None, http.AnswerDecoder()
+        while answer is None:
+            got = self.stream.read(max(0.0, until - self.scheduler.clock()))
+            answer = decoder.feed(got) if isinstance(got, bytes) else decoder.end()
+        if not isinstance(answer, http.Answer) or not answer.keep:
+            self.stream.close()
+            self.stream = None
+        return isinstance(answer, http.Answer) and answer.status == 204
--- /dev/null
+++ b/valeturn/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Greenlets over poll, sockets and signals: moves bytes, knows no message."""
--- /dev/null
+++ b/valeturn/transport/listener.py
@@ -0,0 +1,60 @@
+"""Accepts connections, up to a budget of descriptors: past it the kernel's queue waits, as does this task."""
+
+from __future__ import annotations
+
+import errno
+import socket
+
+from .scheduler import READ
+from .streams import Stream
+
+BACKLOG = 512  # a whole fleet of gateways may connect at once after a start
+SHORTAGE = 0.05  # s without accepting when descriptors or memory ran out: not a busy loop, soon over
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Listener:
+    def __init__(self, scheduler, address, most, on_stream):
+        self.scheduler, self.most, self.on_stream, self.count = scheduler, most, on_stream, 0
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.sock.listen(BACKLOG)
+        self.closed, self.shortages = False, 0
+        self.task = scheduler.spawn(self.run, name="listener")
+
+    def run(self):
+        while not self.closed:
+            if self.count >= self.most:
+                self.shortages += 1
+                self.scheduler.sleep(SHORTAGE)
+            elif self.scheduler.wait_fd(self.sock.fileno(), READ):
+                self.accept_all()
+
+    def accept_all(self):
+        while self.count < self.most and not self.closed:
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in SHORT:
+                    self.shortages += 1
+                    self.scheduler.sleep(SHORTAGE)
+                    return
+                continue  # that one broke before it was accepted
+            self.count += 1
+            self.on_stream(Stream(self.scheduler, sock))
+
+    def released(self):
+        self.count -= 1
+
+    def close(self):
+        """Takes in what the kernel has accepted, so that nothing written to it is lost, then refuses."""
+        if not self.closed:
+            self.accept_all()
+            self.closed = True
+            self.scheduler.cancel(self.task)
+            self.scheduler.unwatch(self.sock.fileno(), READ)
+            self.sock.close()
--- /dev/null
+++ b/valeturn/transport/signals.py
@@ -0,0 +1,32 @@
+"""Signals as bytes on a socket: the handlers do nothing, a task reads the numbers and acts on them."""
+
+from __future__ import annotations
+
+import signal
+import socket
+
+from .streams import Stream
+
+
+class Signals:
+    def __init__(self, scheduler, actions):
+        """actions: signal number -> function, called in a task."""
+        self.actions = actions
+        end, self.other = socket.socketpair()
+        end.setblocking(False)
+        self.other.setblocking(False)
+        self.scheduler, self.stream = scheduler, Stream.__new__(Stream)
+        self.stream.scheduler, self.stream.sock, self.stream.trouble = scheduler, end, None
+        signal.set_wakeup_fd(self.other.fileno(), warn_on_full_buffer=False)
+        for number in actions:
+            signal.signal(number, lambda *_: None)
+        scheduler.spawn(self.run, name="signals")
+
+    def run(self):
+        while True:
+            got = self.stream.read()
+            if not isinstance(got, bytes):
+                return
+            for number in got:
+                if number in self.actions:
+                    self.actions[number]()
--- /dev/null
+++ b/valeturn/transport/streams.py
@@ -0,0 +1,116 @@
+"""Byte streams on non-blocking TCP sockets. What goes wrong is returned as a value, never raised."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from enum import Enum
+
+from .scheduler import READ, WRITE
+
+CHUNK = 65536  # a read takes a burst of submissions whole: they are some hundred bytes each
+CONNECTING = (errno.EINPROGRESS, errno.EWOULDBLOCK)
+
+
+class Trouble(Enum):
+    CLOSED = "closed by the other side"
+    RESET = "connection broken"
+    TIMED_OUT = "time is up"
+    REFUSED = "connection refused"
+    UNREACHED = "no connection made"
+    SHUT = "closed on this side"
+
+
+class Stream:
+    def __init__(self, scheduler, sock, most_unsent=262144):
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.scheduler, self.sock, self.most_unsent = scheduler, sock, most_unsent
+        self.unsent, self.writer, self.reader, self.trouble = bytearray(), None, None, None
+
+    def read(self, timeout=None):
+        """Bytes as soon as there are some, or a Trouble."""
+        while self.trouble is None:
+            try:
+                data = self.sock.recv(CHUNK)
+                return data or Trouble.CLOSED
+            except BlockingIOError:
+                pass
+            except OSError:
+                return Trouble.RESET
+            if not self.scheduler.wait_fd(self.sock.fileno(), READ, timeout):
+                return self.trouble or Trouble.TIMED_OUT
+        return self.trouble
+
+    def write(self, data):
+        """Sends what the socket takes and keeps the rest for a task of its own. False once it is broken or
+        more waits than may: the reader at the other end is too slow to be served."""
+        if self.trouble is not None:
+            return False
+        if not self.unsent:
+            sent = self._send(data)
+            data = data[sent:] if sent else data
+        if data and self.trouble is None:
+            self.unsent += data
+            if len(self.unsent) > self.most_unsent:
+                self.close(Trouble.RESET)
+            elif self.writer is None:
+                self.writer = self.scheduler.spawn(self._write_rest, name="writer")
+        return self.trouble is None
+
+    def _send(self, data):
+        try:
+            return self.sock.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            self.trouble = Trouble.RESET
+            return 0
+
+    def _write_rest(self):
+        while self.unsent and self.trouble is None:
+            if self.scheduler.wait_fd(self.sock.fileno(), WRITE) and self.trouble is None:
+                del self.unsent[:self._send(self.unsent)]
+        self.writer = None
+
+    def quiet(self):
+        """True while the other side has sent nothing and not closed: such a kept connection may be used."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return self.trouble is None
+        except OSError:
+            pass
+        return False
+
+    def close(self, why=Trouble.SHUT):
+        if self.sock.fileno() < 0:
+            return
+        self.trouble = self.trouble or why
+        for way, task in list(self.scheduler.waiting.get(self.sock.fileno(), {}).items()):
+            self.scheduler.wake(task, False)
+            self.scheduler.unwatch(self.sock.fileno(), way)
+        self.sock.close()
+
+
+def connect(scheduler, address, timeout):
+    """A Stream, or the Trouble that kept it from coming about: nothing was sent then."""
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError:  # out of descriptors
+        return Trouble.UNREACHED
+    try:
+        sock.setblocking(False)
+        code = sock.connect_ex(address)
+        if code in CONNECTING:
+            if not scheduler.wait_fd(sock.fileno(), WRITE, timeout):
+                sock.close()
+                return Trouble.TIMED_OUT
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    except BaseException:
+        sock.close()
+        raise
+    if code:
+        sock.close()
+        return Trouble.REFUSED if code == errno.ECONNREFUSED else Trouble.UNREACHED
+    return Stream(scheduler, sock)
