--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,16 @@
-"""A slow, plain model of the four rules: plays the machine, and says of each action whether it is allowed."""
+"""A slow, plain model of the four rules, which says of each action whether it is allowed; the protocol's
+bytes; and in-memory ends for the routing."""
+
+import json
+import struct
+import time
+from collections import deque
 
 from valeturn import interface as it
+from valeturn.protocol import executor as lines
+from valeturn.protocol import frames
+from valeturn.routing.core import Core
+from valeturn.routing.messages import Arrival, LinkUp
 
 IDEMPOTENT, DEDUPLICATED, UNREPEATABLE = it.Effect.IDEMPOTENT, it.Effect.DEDUPLICATED, it.Effect.UNREPEATABLE
 WORKLOADS = (
@@ -143,3 +153,111 @@
         start = self.now - self.s.calls_window
         out = sum(max(0.0, min(self.now, until) - max(start, since)) for since, until in self.calls)
         assert out <= self.s.calls_share * self.s.calls_window, "too many calls out"
+
+
+def frame(kind, stream, payload=b""):
+    return struct.pack("<IBI", len(payload) + 5, kind, stream) + payload
+
+
+def submission(stream, rank="0.5", body=b"body", **changes):
+    fields = {"op": "quote", "call": "9b1f03aa5c7e2d41", "recv": "1764576000123", "src": "4", "org": "acme",
+              "ttl": "480", "work": "12.50", "heap": "24.5", "crit": rank, "x-new": "?", **changes}
+    fields = {name: value for name, value in fields.items() if value is not None}
+    parts = [bytes((len(fields),))]
+    for name, value in fields.items():
+        name, value = name.encode(), value.encode()
+        parts += struct.pack("<B", len(name)), name, struct.pack("<H", len(value)), value
+    return frame(7, stream, b"".join(parts) + body)
+
+
+class Ends:
+    """Plays scheduler, link, ledger, reporter and module of a Core in memory."""
+
+    def __init__(self, rules=None, **changes):
+        self.now, self.up, self.lines, self.calls, self.given_up = 100.0, True, [], [], []
+        self.told, self.logged, self.counts, self.script, self.heard = [], [], {}, [], []
+        self.settings = settings(**changes)
+        self.workloads = {w.name: index for index, w in enumerate(self.settings.workloads)}
+        self.tenants, self.passes_wait = {t.name: i for i, t in enumerate(self.settings.tenants)}, True
+        self.core = Core(self, self, lambda cold, age: rules or self, self, self, self, self, self.count,
+                         self, lambda event, *_, **__: self.logged.append(event))
+        self.turn(LinkUp(False, 0.0))
+        self.numbers = 0
+
+    # the scheduler
+    def clock(self):
+        return self.now
+
+    def spawn(self, function, *args, name=None):
+        function(*args)
+
+    def call_later(self, delay, function, *args):
+        pass
+
+    # names, counters, reporter, times
+    def gauges(self, values):
+        return it.Gauges(*values)
+
+    def count(self, name, amount=1):
+        self.counts[name] = self.counts.get(name, 0) + amount
+
+    def tell(self, serving):
+        self.told.append(serving)
+
+    def add(self, name, seconds):
+        pass
+
+    # the link
+    def send(self, line):
+        if self.up and json.loads(line)["t"] != "METER":
+            self.lines.append(json.loads(line))
+        return self.up
+
+    def check(self):
+        pass
+
+    # the ledger
+    def call(self, number, attempt, reference, wait, body):
+        self.calls.append((number, attempt, reference, body))
+
+    def give_up(self, number):
+        self.given_up.append(number)
+
+    def drop_unused(self):
+        pass
+
+    # the module
+    def decide(self, now, events):
+        self.heard += events
+        actions, self.script = self.script, []
+        return actions
+
+    def turn(self, *messages, do=()):
+        """One turn of the core, in which a scripted module answers with `do`; returns the new commands."""
+        self.script, before = list(do), len(self.lines)
+        taken, self.core.mailbox.items = list(self.core.mailbox.items), deque()
+        self.core.turn(taken + list(messages))
+        return [(m["t"], m.get("rid")) for m in self.lines[before:]]
+
+    def arrive(self, workload, connection, do=(), **changes):
+        self.numbers += 1
+        changes = {"call": f"{self.numbers:016x}", "stream": self.numbers, "reached": time.time(), **changes}
+        base = frames.Submitted(1, "", workload, "a", 0.0, 2.0, 0.1, 8.0, 0.5, 1, None, None, False, b"body")
+        came = Arrival(connection, base._replace(**changes), 0.0)
+        self.turn(came, do=[action(self.core.numbers + 1) for action in do])
+        return self.core.numbers, came.submission.call
+
+    def gauge(self):
+        """What the executor answers to gauges asked for now: all commands before have arrived."""
+        self.core.mark += 1
+        self.turn(lines.Gauged(str(self.core.mark), (0.1, 0, 0.1, 1)))
+
+
+class Caller:
+    """A connection that keeps what it is answered."""
+
+    def __init__(self):
+        self.answers = []
+
+    def answer(self, stream, data):
+        self.answers.append((stream, data[9], data[9 + 2:]))  # stream, code, what follows no fields
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,238 @@
+"""The parsers, on bytes alone: every split, round trips, bounds, malformed input."""
+
+import json
+import random
+
+import pytest
+from helpers import frame, submission
+
+from valeturn.protocol import executor, frames, http
+
+
+def feed_in_pieces(decoder, data, cuts):
+    out, edges = [], [0, *sorted(cuts), len(data)]
+    for start, end in zip(edges, edges[1:]):
+        out += decoder.feed(data[start:end])
+    return out
+
+
+def test_frames_come_out_the_same_in_every_split():
+    data = (
+        submission(1, body=b"\x00\xff body")
+        + frame(9, 1)
+        + frame(1, 2, b"\x01\x03e2e\x01\x001")
+        + submission(7)
+    )
+    whole = frames.FrameDecoder().feed(data)
+    assert [type(m) for m in whole] == [
+        frames.Submitted,
+        frames.Withdrawn,
+        frames.HealthAsked,
+        frames.Submitted,
+    ]
+    assert whole[0].body == b"\x00\xff body" and whole[2].deep
+    for cut in range(len(data) + 1):
+        assert feed_in_pieces(frames.FrameDecoder(), data, [cut]) == whole
+    assert feed_in_pieces(frames.FrameDecoder(), data, range(len(data))) == whole
+
+
+def test_a_submission_is_decoded_to_our_units():
+    (got,) = frames.FrameDecoder().feed(submission(3, rank="0.625", body=b"b"))
+    assert got == frames.Submitted(
+        3,
+        "9b1f03aa5c7e2d41",
+        "quote",
+        "acme",
+        1764576000.123,
+        0.48,
+        0.0125,
+        24.5,
+        0.625,
+        4,
+        None,
+        None,
+        False,
+        b"b",
+    )
+
+
+@pytest.mark.parametrize(
+    "changes, reason",
+    [
+        ({"call": "9b1f03aa5c7e2d4"}, "16 hex"),
+        ({"call": "9B1F03AA5C7E2D41"}, "16 hex"),
+        ({"op": ""}, "op"),
+        ({"recv": None}, "recv is missing"),
+        ({"recv": "soon"}, "recv is unreadable"),
+        ({"heap": "nan"}, "heap"),
+        ({"heap": None}, "heap is missing"),
+        ({"heap": "0"}, "heap"),
+        ({"heap": "3000"}, "heap"),
+        ({"ttl": "-1"}, "ttl"),
+        ({"crit": "x"}, "crit"),
+        ({"body": b"x" * 2049}, "body too long"),
+    ],
+)
+def test_a_field_that_cannot_be_read_spares_the_connection(changes, reason):
+    bad, good = frames.FrameDecoder().feed(submission(5, **changes) + submission(6))
+    assert isinstance(bad, frames.Unreadable) and bad.stream == 5 and reason in bad.reason
+    assert isinstance(good, frames.Submitted)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x04\x00\x00\x00\x07\x00\x00\x00\x00",
+        b"\x01\x00\x04\x00",
+        frame(5, 1),
+        frame(7, 1),
+        frame(7, 1, b"\x01\x09ab"),
+        frame(7, 1, b"\x01\x02op\xff\xffx"),
+        frame(7, 1, b"\x01\x02\xff\xfe\x01\x00a"),
+        frame(9, 1, b"x"),
+        submission(0),
+    ],
+)
+def test_what_does_not_add_up_breaks_the_connection_and_nothing_after_it_is_read(data):
+    decoder = frames.FrameDecoder()
+    got = decoder.feed(submission(1) + data + submission(2))
+    assert [type(m) for m in got] == [frames.Submitted, frames.Broken]
+    assert decoder.feed(submission(3)) == []
+
+
+def test_random_bytes_never_raise_and_are_held_within_one_frame():
+    chance = random.Random(5)
+    for _ in range(300):
+        decoder = frames.FrameDecoder()
+        data = bytearray(submission(1) + submission(2))
+        for _ in range(chance.randrange(1, 6)):
+            data[chance.randrange(len(data))] = chance.randrange(256)
+        for m in decoder.feed(bytes(data)):
+            assert type(m) in (
+                frames.Submitted,
+                frames.Unreadable,
+                frames.Withdrawn,
+                frames.HealthAsked,
+                frames.Broken,
+            )
+        assert len(decoder.held) <= frames.MOST + 4
+
+
+def test_answers_have_the_bytes_of_the_page():
+    assert frames.turned_back(3, 0.25, True, 0.5) == frame(
+        8, 3, b"\x00\x03\x04load\x06\x000.5000\x08pushback\x03\x00250\x04stop\x01\x001"
+    )
+    assert frames.delivered(4, b"\x01\x02") == frame(8, 4, b"\x01\x00\x01\x02")
+    assert frames.written_off(4) == frame(8, 4, b"\x09\x00")
+    assert frames.health(2, False) == frame(2, 2, b"\x00\x00")
+    assert frames.no_more() == frame(3, 0)
+
+
+LINES = (
+    b'{"t":"WELCOME","status":"booting","time_ms":1500}\n{"t":"EXIT","no":1,"rid":"a","status":"success",'
+    b'"time_ms":20,"b64":"AP8="}\n{"t":"CALLOUT","no":2,"rid":"b","b64":"aGk="}\n{"t":"LOG","no":3,"status":"x"}\n'
+    b'{"t":"NEWS"}\n{"t":"METERS","mark":"4","v":[0.5,3,0.1,2]}\n{"t":"BAD","status":"EXEC","rid":"c"}\n'
+)
+
+
+def test_notices_come_out_the_same_in_every_split():
+    whole = executor.LineDecoder().feed(LINES)
+    assert whole == [
+        executor.Welcomed(True, 1.5),
+        executor.RunOver(1, "a", executor.End.DONE, 0.02, b"\x00\xff"),
+        executor.CallWanted(2, "b", b"hi"),
+        executor.Remark(3),
+        executor.Remark(None),
+        executor.Gauged("4", (0.5, 3, 0.1, 2)),
+        executor.NotCarriedOut("EXEC", "c"),
+    ]
+    for cut in range(len(LINES) + 1):
+        assert feed_in_pieces(executor.LineDecoder(), LINES, [cut]) == whole
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"no json\n",
+        b"[1]\n",
+        b"{}\n",
+        b'{"t":"EXIT","no":1}\n',
+        b'{"t":"EXIT","no":1,"rid":"a","status":"odd","time_ms":1}\n',
+        b'{"t":"CALLOUT","no":1,"rid":"a","b64":"*"}\n',
+        b"x" * 70000,
+        b'"' + b"x" * 70000 + b'"\n',
+        b"[" * 60000 + b"\n",
+    ],
+)
+def test_a_malformed_line_ends_the_link(line):
+    decoder = executor.LineDecoder()
+    got = decoder.feed(line + LINES)
+    assert len(got) == 1 and isinstance(got[0], executor.Malformed) and decoder.feed(LINES) == []
+
+
+def test_commands_are_lines_of_json_with_the_body_in_base64():
+    assert json.loads(executor.start("a", "quote", b"\x00\xff")) == {
+        "t": "EXEC",
+        "rid": "a",
+        "route": "quote",
+        "b64": "AP8=",
+    }
+    assert json.loads(executor.go_without("a", 7)) == {"t": "BYPASS", "rid": "a", "no": 7}
+    assert executor.join(0).endswith(b"\n") and executor.join(0).count(b"\n") == 1
+
+
+ANSWERS = {
+    "sized": (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-Untouched: 1\r\n\r\nabc", 200, b"abc", True),
+    "none": (b"HTTP/1.1 204 No Content\r\n\r\n", 204, b"", True),
+    "chunked": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=1\r\nab\r\n1\r\nc\r\n0\r\nA: b\r\n\r\n",
+        200,
+        b"abc",
+        True,
+    ),
+    "closing": (b"HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", 503, b"", False),
+    "interim": (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, b"", True),
+    "old": (b"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx", 200, b"x", False),
+}
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+def test_answers_come_out_the_same_in_every_split(name):
+    data, status, body, keep = ANSWERS[name]
+    for cut in range(len(data)):
+        decoder = http.AnswerDecoder()
+        early = decoder.feed(data[:cut])
+        got = early or decoder.feed(data[cut:])
+        assert (got.status, got.body, got.keep) == (status, body, keep), cut
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    decoder = http.AnswerDecoder()
+    assert decoder.feed(b"HTTP/1.1 200 OK\r\n\r\nab") is None
+    assert decoder.end()[2:] == (b"ab", False)
+    assert isinstance(http.AnswerDecoder().end(), http.Malformed)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"SSH-2.0-x\r\n\r\n",
+        b"HTTP/1.1 abc\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n bad\r\n\r\n",
+        b"x" * 20000,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n",
+    ],
+)
+def test_malformed_http_is_a_value(data):
+    assert isinstance(http.AnswerDecoder().feed(data), http.Malformed)
+
+
+def test_a_request_has_host_and_length():
+    assert http.request("POST", "/post", "h:1", [("X-Txn-Ref", "a")], b"hi") == (
+        b"POST /post HTTP/1.1\r\nHost: h:1\r\nX-Txn-Ref: a\r\nContent-Length: 2\r\n\r\nhi"
+    )
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,318 @@
+"""The owner of the module with in-memory ends: crossings, a broken link at each stage, one answer each."""
+
+import random
+
+import pytest
+from helpers import Caller, Ends
+
+from valeturn import interface as it
+from valeturn.protocol import executor as lines
+from valeturn.protocol.executor import End
+from valeturn.routing import messages as msg
+from valeturn.routing.executor import REPLAY_END
+from valeturn.rules import Rules
+
+DELIVERED, TURNED_BACK, WRITTEN_OFF = 1, 0, 9
+JOINED = lines.Gauged(REPLAY_END, ())
+
+
+def over(call, end=End.DONE, result=b"result", number=1):
+    return lines.RunOver(number, call, end, 0.1, result)
+
+
+@pytest.fixture
+def caller():
+    return Caller()
+
+
+def codes(caller):
+    return [code for _, code, _ in caller.answers]
+
+
+def test_a_run_s_result_is_delivered_unchanged_and_told(caller):
+    ends = Ends()
+    number, call = ends.arrive("read", caller, do=[it.Start])
+    assert ends.lines == [{"t": "EXEC", "rid": call, "route": "read", "b64": "Ym9keQ=="}]
+    ends.turn(over(call))
+    assert caller.answers == [(1, DELIVERED, b"result")] and not ends.core.open
+    assert ends.heard[-1] == it.Ended(number, it.Outcome.DONE, 0.1)
+
+
+@pytest.mark.parametrize("end, outcome", [
+    (End.FAILED, it.Outcome.ERROR), (End.NOTHING, it.Outcome.MOOT), (End.STOPPED, it.Outcome.CANCELLED)])
+def test_other_ends_are_written_off_and_told(caller, end, outcome):
+    ends = Ends()
+    number, call = ends.arrive("file", caller, do=[it.Start])
+    ends.turn(over(call, end))
+    assert codes(caller) == [WRITTEN_OFF] and not ends.core.open
+    assert ends.heard[-1] == it.Ended(number, outcome, 0.1)
+
+
+def test_a_finished_run_crosses_what_ends_it(caller):
+    """Write-off, halt and withdrawal each cross the run's end: one answer at most, and the end is told."""
+    for ending in ("write off", "halt", "withdraw"):
+        ends, one = Ends(), Caller()
+        number, call = ends.arrive("read", one, do=[it.Start])
+        if ending == "withdraw":
+            ends.turn(msg.Withdrawal(one, 1), do=[it.Halt(number)])
+            assert ends.heard[-1] == it.Gone(number)
+        else:
+            ends.turn(msg.Told(it.Woken(0, None)), do=[it.WriteOff(number)] * (ending == "write off"))
+            ends.turn(msg.Told(it.Woken(0, None)), do=[it.Halt(number)])
+        ends.turn(over(call))
+        assert codes(one) == {"write off": [WRITTEN_OFF], "halt": [DELIVERED], "withdraw": []}[ending]
+        assert ends.heard[-1].outcome is it.Outcome.DONE and not ends.core.open
+        ends.turn(over(call, number=2), msg.Withdrawal(one, 1), msg.ConnectionEnded(one))
+        assert len(one.answers) <= 1 and ends.counts["executor.run_of_none"] == 1
+
+
+def test_a_stopped_run_that_is_owed_is_held_again(caller):
+    ends = Ends()
+    number, call = ends.arrive("read", caller, do=[it.Start])
+    ends.turn(msg.Told(it.Woken(0, None)), do=[it.Halt(number)])
+    ends.turn(over(call, End.STOPPED, b""))
+    assert caller.answers == [] and number in ends.core.open
+    assert ends.turn(msg.Told(it.Woken(0, None)), do=[it.Start(number)]) == [("EXEC", call)]
+
+
+def test_an_ended_connection_means_all_its_callers_have_gone(caller):
+    ends, other = Ends(), Caller()
+    first, _ = ends.arrive("read", caller, do=[it.Start])
+    second, _ = ends.arrive("read", caller)
+    third, _ = ends.arrive("read", other)
+    ends.turn(msg.ConnectionEnded(caller))
+    assert [e.id for e in ends.heard if isinstance(e, it.Gone)] == [first, second]
+    assert set(ends.core.open) == {first, third}, "one runs on, one is another caller's"
+
+
+def test_calls_go_out_once_and_replies_come_back_unchanged(caller):
+    ends = Ends()
+    number, call = ends.arrive("file", caller, do=[it.Start])
+    ends.turn(lines.CallWanted(1, call, b"ask"), do=[it.Call(number, 0.2)])
+    (_, attempt, reference, body), = ends.calls
+    assert (reference, body) == (call, b"ask")
+    ends.turn(msg.CallOver(number, attempt, it.Outcome.DONE, 0.1, b"\x00said"))
+    assert ends.lines[-1] == {"t": "RETURN", "rid": call, "b64": "AHNhaWQ="}
+    ends.turn(msg.CallOver(number, attempt, it.Outcome.DONE, 0.1, b"again"))
+    assert ends.counts["ledger.reply_of_none"] == 1 and len(ends.lines) == 2
+    ends.turn(lines.CallWanted(2, call, b"ask 2"), do=[it.Call(number, 0.2)])
+    ends.turn(over(call, End.STOPPED, number=3))
+    ends.turn(msg.CallOver(number, ends.calls[-1][1], it.Outcome.DONE, 0.1, b"late"))
+    assert ends.given_up[-1] == number and [m["t"] for m in ends.lines].count("RETURN") == 1
+
+
+def test_going_without_names_the_notice_and_gives_the_call_up(caller):
+    ends = Ends()
+    number, call = ends.arrive("read", caller, do=[it.Start])
+    ends.turn(lines.CallWanted(7, call, b"ask"), do=[it.Call(number, 0.2)])
+    ends.turn(msg.Told(it.Woken(0, None)), do=[it.GoWithout(number)])
+    assert ends.lines[-1] == {"t": "BYPASS", "rid": call, "no": 7} and ends.given_up == [number]
+
+
+# ---- the link breaks
+
+
+def rejoin(ends, *missed):
+    ends.up = False
+    ends.turn(msg.LinkDown())
+    ends.up = True
+    return ends.turn(msg.LinkUp(False, 9.0), *missed, JOINED)
+
+
+@pytest.mark.parametrize("workload, again", [("read", True), ("file", False), ("book", False)])
+def test_a_start_in_doubt_is_sent_again_only_where_it_may_run_twice(caller, workload, again):
+    ends = Ends()
+    _, call = ends.arrive(workload, caller, do=[it.Start])
+    assert rejoin(ends) == [("EXEC", call)] * again
+    ends.turn(over(call))
+    assert codes(caller) == [DELIVERED]
+
+
+def test_a_start_known_to_have_arrived_is_not_sent_again(caller):
+    ends = Ends()
+    _, call = ends.arrive("read", caller, do=[it.Start])
+    ends.gauge()
+    assert rejoin(ends) == []
+
+
+def test_a_start_whose_end_was_missed_is_not_sent_again(caller):
+    ends = Ends()
+    _, call = ends.arrive("read", caller, do=[it.Start])
+    assert rejoin(ends, over(call)) == [] and codes(caller) == [DELIVERED]
+
+
+def test_a_start_without_a_link_is_sent_after_the_join_unless_halted(caller):
+    ends = Ends()
+    ends.up = False
+    ends.turn(msg.LinkDown())
+    first, call = ends.arrive("file", caller, do=[it.Start])
+    second, _ = ends.arrive("read", caller, do=[it.Start])
+    ends.turn(msg.Told(it.Woken(0, None)), do=[it.Halt(second)])
+    ends.turn()
+    assert ends.heard[-1] == it.Ended(second, it.Outcome.CANCELLED, 0.0)
+    ends.up = True
+    assert ends.turn(msg.LinkUp(False, 9.0), JOINED) == [("EXEC", call)]
+
+
+def test_a_halt_is_sent_again_and_a_run_that_never_was_ends(caller):
+    ends = Ends()
+    number, call = ends.arrive("file", caller, do=[it.Start])
+    assert rejoin(ends) == []
+    ends.turn(msg.Told(it.Woken(0, None)), do=[it.WriteOff(number), it.Halt(number)])
+    assert rejoin(ends) == [("KILL", call)]
+    ends.gauge()
+    assert ends.heard[-1] == it.Ended(number, it.Outcome.CANCELLED, 0.0) and not ends.core.open
+
+
+@pytest.mark.parametrize("workload, command", [("read", "BYPASS"), ("file", "RETURN")])
+def test_a_reply_in_doubt_cannot_meet_the_next_call_where_that_can_be_helped(caller, workload, command):
+    ends = Ends()
+    number, call = ends.arrive(workload, caller, do=[it.Start])
+    ends.turn(lines.CallWanted(1, call, b"ask"), do=[it.Call(number, 0.2)])
+    ends.turn(msg.CallOver(number, ends.calls[0][1], it.Outcome.DONE, 0.1, b"said"))
+    assert rejoin(ends) == [(command, call)]
+    ends.gauge()
+    assert rejoin(ends) == [], "known to have arrived"
+
+
+def test_after_lost_notices_only_idempotent_runs_are_asked_for_again(caller):
+    ends = Ends()
+    calls = [ends.arrive(workload, caller, do=[it.Start])[1] for workload in ("read", "file")]
+    ends.gauge()
+    assert rejoin(ends, msg.NoticesMissed()) == [("EXEC", calls[0])]
+
+
+# ---- turns
+
+
+def test_late_wake_ups_of_a_mark_are_one_and_stale_gauges_are_left_out(caller):
+    ends = Ends()
+    ends.turn(msg.Told(it.Woken(9, None)), do=[it.Wake(0.1, 5), it.Wake(0.2, 5), it.Wake(0.2, 6)])
+    ends.turn(lines.Gauged("1", (0.5, 3, 0.1, 2)))
+    ends.heard, ends.now = [], ends.now + 0.21
+    ends.turn()
+    assert ends.heard == [it.Woken(5, it.Gauges(0.5, 3, 0.1, 2)), it.Woken(6, it.Gauges(0.5, 3, 0.1, 2))]
+    ends.turn(msg.Told(it.Woken(9, None)), do=[it.Wake(1.0, 5)])
+    ends.now += 1.0
+    ends.turn()
+    assert ends.heard[-1] == it.Woken(5, it.Gauges())
+
+
+def test_a_check_hears_the_truth_before_during_and_after(caller):
+    ends = Ends()
+    for good, action in ((True, ()), (False, [it.Health(False, True)]), (True, [it.Health(True, True)])):
+        ends.turn(msg.Told(it.Woken(0, None)), do=action)
+        ends.turn(msg.Check(caller, 1, True))
+        assert caller.answers[-1][1] == good
+    ends.turn(msg.Told(it.Woken(0, None)), do=[it.Health(True, False)])
+    assert ends.turn(msg.Check(caller, 2, True))[0][0] == "DIAG" and len(caller.answers) == 3
+    ends.turn(lines.Diagnosed(ends.lines[-1]["mark"], False))
+    assert caller.answers[-1][:2] == (2, 0)
+    ends.core.rules = None
+    ends.core.good = False
+    ends.turn(msg.Check(caller, 3, False))
+    assert caller.answers[-1][:2] == (3, 0) and len(caller.answers) == 5
+
+
+def test_a_module_that_fails_leaves_true_answers_and_serving_goes_on(caller):
+    ends = Ends()
+    ends.arrive("read", caller)
+    ends.arrive("file", caller, do=[it.Start])
+    _, call = ends.arrive("file", caller, do=[it.Start])
+    ends.turn(over(call, End.STOPPED))  # unasked: its caller has gone, and one answer does no harm
+    healthy, ends.decide = ends.decide, lambda *_: 1 / 0
+    ends.turn(msg.Told(it.Woken(0, None)))
+    assert [a[:2] for a in caller.answers] == [(3, WRITTEN_OFF), (1, TURNED_BACK), (2, WRITTEN_OFF)]
+    assert not ends.core.open and "module_failed" in ends.logged
+    ends.decide = healthy
+    _, call = ends.arrive("read", caller, do=[it.Start])
+    ends.turn(over(call))
+    assert caller.answers[-1][:2] == (4, DELIVERED)
+
+
+def test_a_fault_with_one_message_does_not_stop_the_others(caller):
+    ends = Ends()
+    ends.core.names.tenants = None
+    ends.arrive("read", caller)
+    assert codes(caller) == [TURNED_BACK] and ends.logged == ["welcome", "core_fault"]
+
+
+def test_reads_of_one_subject_share_a_result(caller):
+    ends = Ends(fresh_for=2.0)
+    first, call = ends.arrive("read", caller, do=[lambda n: it.Remember(n, 9.0), it.Start], subject="s")
+    second, _ = ends.arrive("read", caller, do=[it.AnswerFrom], subject="s")
+    assert ends.heard[-1].repeats == first and caller.answers == []
+    ends.turn(over(call))
+    third, _ = ends.arrive("read", caller, do=[it.AnswerFrom], subject="s")
+    assert [a[1:] for a in caller.answers] == [(DELIVERED, b"result")] * 3 and not ends.core.open
+    ends.turn()
+    assert ends.heard[-1] == it.Ended(third, it.Outcome.DONE, 0.0)
+    ends.turn(msg.Told(it.Woken(0, None)), do=[it.Forget(first)])
+    ends.arrive("read", caller, subject="s")
+    assert ends.heard[-1].repeats is None
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_one_answer_each_under_any_order_of_events(seed):
+    """The real module, a random machine with a link that breaks, and a plain count of answers and runs."""
+    chance, caller = random.Random(seed), Caller()
+    ends = Ends()
+    ends.core.rules = Rules(ends.settings, seed, ends.now)
+    state, seen, due = {}, 0, {}  # call -> where its run is
+    notices, number = [], 0
+    for step in range(700):
+        ends.now += 0.01
+        if step < 450 and chance.random() < 0.25:
+            workload = chance.choice(("read", "book", "file"))
+            _, call = ends.arrive(workload, caller, caller=1)
+            due[ends.numbers], state[call] = ends.now + 2.0, [workload, "held", ends.numbers, 0]
+        events, link = [], chance.random()
+        if link < 0.02 and ends.up:
+            ends.up = False
+            events.append(msg.LinkDown())
+        elif link < 0.1 and not ends.up:
+            ends.up = True
+            events += [msg.LinkUp(False, 9.0), *notices, JOINED]
+            notices = []
+        for call, one in state.items():
+            told, roll = [], chance.random()
+            if one[1] == "running" and roll < 0.06:
+                number += 1
+                if one[0] != "book" and roll < 0.02:
+                    one[1], told = "at call", [lines.CallWanted(number, call, b"ask")]
+                else:
+                    one[1], told = "over", [over(call, chance.choice((End.DONE, End.FAILED)), b"r", number)]
+            elif one[1] == "at call" and roll < 0.02:
+                one[1], told = "over", [over(call, End.STOPPED, b"", number)]
+            elif roll > 0.999:
+                events.append(msg.Withdrawal(caller, one[2]))
+            (events if ends.up else notices).extend(told)
+        while ends.calls and chance.random() < 0.5:
+            who, attempt, *_ = ends.calls.pop()
+            events.append(msg.CallOver(who, attempt, chance.choice(list(it.Outcome)), 0.1, b"said"))
+        ends.turn(*events)
+        if step % 10 == 9 and ends.up:
+            ends.gauge()
+        for m in ends.lines[seen:]:
+            one = state.get(m.get("rid"))
+            if m["t"] == "EXEC" and one[1] != "running":
+                if one[1] == "over" and one[3]:
+                    assert one[0] == "read", "an effect ran twice"
+                one[1], one[3] = "running", one[3] + 1
+            elif m["t"] in ("RETURN", "BYPASS") and one[1] == "at call":
+                one[1] = "running"
+            elif m["t"] == "KILL" and one[1] in ("running", "at call"):
+                number += 1
+                one[1] = "over"
+                notices.append(over(m["rid"], End.STOPPED, b"", number))
+        seen = len(ends.lines)
+        if ends.up and notices:
+            ends.turn(*notices)
+            notices = []
+        answered = [stream for stream, _, _ in caller.answers]
+        assert len(answered) == len(set(answered)), "two answers"
+        late = {stream for stream, at in due.items() if ends.now > at + ends.settings.answer_slack}
+        owed = {sub.stream for sub in ends.core.open.values() if not sub.answered}
+        assert not owed & late, "an answer overdue"
+    assert ends.counts["out.delivered"] > 5 and ends.counts.get("errors.core", 0) == 0
+    assert all(sub.answered for sub in ends.core.open.values()), "lost"
--- a/valeturn/program/configuration.py
+++ b/valeturn/program/configuration.py
@@ -67,6 +67,7 @@
         names = Names(settings)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise Wrong(f"settings: {type(error).__name__}: {error}") from None
+    _check(names.settings)
     return Configuration(
         name, _address(raw, "listen"), _address(raw, "executor"), _address(raw, "naming"),
         _address(raw, "ledger"), seed, _number(raw, "stop_ms", 1, 3.6e6, 3000) / 1000.0,
@@ -74,6 +75,26 @@
         _number(limits, "memory_mb", 48, 1e6, 192, "limits."), names)
 
 
+def _check(s):
+    """What the module divides by or waits for must make sense; the rest it takes as it comes."""
+    for field, value, least in (
+            ("servers", s.servers, 1), ("domain.cpus", s.cores, 1), ("domain.heap_kb", s.memory, 1),
+            ("domain.run_mem_factor", s.run_memory_factor, 1), ("domain.key_kb", s.key_memory, 0),
+            ("domain.calls_out", s.calls_share, 0), ("domain.calls_over_ms", s.calls_window, 0),
+            ("domain.linger_ms", s.call_linger, 0), ("domain.fresh_ms", s.fresh_for, 0),
+            ("rules.overload_factor", s.crowd_factor, 1), ("rules.cold_ms", s.cold_time, 0),
+            ("rules.start_capacity", s.cold_speed, 0), ("rules.drain_grace_ms", s.drain_grace, 0),
+            ("rules.grace_to_answer_ms", s.answer_slack, 0), ("tick_ms", s.tick, 0)):
+        if not isinstance(value, (int, float)) or not value >= least:
+            raise Wrong(f"settings.{field}: wants a number of at least {least}, has {value!r}")
+    for index, w in enumerate(s.workloads):
+        where = f"settings.request_classes[{index}]"
+        if not isinstance(w.name, str) or not w.name or w.name in [one.name for one in s.workloads[:index]]:
+            raise Wrong(f"{where}.name: wants a name of its own, has {w.name!r}")
+        if not 0 < w.latency_goal <= w.cut_off:
+            raise Wrong(f"{where}.goal_time_ms: wants more than 0 and no more than give_up_ms")
+
+
 def load(environment=os.environ, path=None):
     path = path or environment.get("EDGE_CONFIG")
     if not path:
--- a/valeturn/protocol/http.py
+++ b/valeturn/protocol/http.py
@@ -117,8 +117,11 @@
         line = self._line(1024)
         if line is None:
             return None
-        self.left = int(line.partition(";")[0].strip(), 16)
-        if self.left < 0 or len(self.body) + self.left > MOST_BODY:
+        size = line.partition(";")[0].strip()
+        if not size or not set(size.lower()) <= set("0123456789abcdef"):
+            raise ValueError("unreadable chunk size")
+        self.left = int(size, 16)
+        if len(self.body) + self.left > MOST_BODY:
             raise ValueError("body too long")
         self.form = "piece" if self.left else "trailer"
         return True
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -33,14 +33,15 @@
 class Open:
     """A submission that is owed an answer, runs, or both."""
 
-    __slots__ = ("answered", "attempt", "body", "call", "connection", "halted", "halting", "joined", "key",
-                 "notice", "number", "reply", "run", "run_at", "sent_mark", "stream", "w", "workload")
+    __slots__ = ("answered", "attempt", "body", "call", "connection", "halted", "halting", "key",
+                 "notice", "number", "ran", "reply", "run", "sent_mark", "stream", "w", "workload")
 
     def __init__(self, number, connection, stream, call, workload, w, body, key):
         self.number, self.connection, self.stream, self.call = number, connection, stream, call
         self.workload, self.w, self.body, self.key = workload, w, body, key
-        self.answered, self.run, self.run_at, self.sent_mark, self.halting = False, IDLE, 0.0, 0, False
-        self.notice, self.reply, self.attempt, self.joined, self.halted = None, None, 0, None, 0
+        self.answered, self.run, self.ran, self.sent_mark = False, IDLE, False, 0
+        self.halting, self.halted = False, None  # asked to stop; the gauges' mark when that was sent
+        self.notice, self.reply, self.attempt = None, None, 0  # the call: wanted, replied, its count
 
 
 class Core:
@@ -56,8 +57,7 @@
         self.wakes, self.asked, self.asked_at, self.times = [], 0.0, 0.0, times
         self.gauges, self.gauged_at, self.mark, self.seen_mark = (), -1.0, 0, 0
         self.good, self.shallow, self.load, self.checks = False, True, None, {}
-        self.leaving = False
-        self.events = []
+        self.stop_at, self.events = None, []
 
     # ---- the loop
 
@@ -78,7 +78,7 @@
         now = self.scheduler.clock()
         self.events, self.batch = [], {}
         for message in taken:
-            self.TAKES[type(message)](self, now, message)
+            self.carry(self.TAKES, now, message)
         self.meet_wakes(now)
         if self.rules is None or not self.events:
             return
@@ -90,7 +90,17 @@
             self.module_failed(now, error)
             return
         for action in actions:
-            self.DOES[type(action)](self, now, action)
+            self.carry(self.DOES, now, action)
+
+    def carry(self, table, now, item):
+        """A fault with one message or action is told and ends there; the others are carried out."""
+        try:
+            table[type(item)](self, now, item)
+        except Exception as error:
+            self.count("errors.core")
+            self.log("core_fault", {"item": type(item).__name__}, fault=error)
+            if isinstance(item, msg.Arrival):
+                item.connection.answer(item.submission.stream, frames.turned_back(item.submission.stream))
 
     def meet_wakes(self, now):
         if self.wakes and self.asked < self.wakes[0][0] <= now + GAUGES_AHEAD:
@@ -110,13 +120,14 @@
         if due:
             self.repeats.expire(now)
             self.ledger.drop_unused()
+            self.link.check()
 
     def module_failed(self, now, error):
         """Answers what is owed as truthfully as is known, and goes on with a module that knows nothing."""
         self.log("module_failed", fault=error)
         self.count("core.module_failed")
         for sub in list(self.open.values()):
-            if sub.run == IDLE and sub.w.effect is not it.Effect.DEDUPLICATED:
+            if not sub.ran and sub.w.effect is not it.Effect.DEDUPLICATED:
                 self.answer(sub, frames.turned_back(sub.stream, load=self.load), "turned_back")
             else:
                 self.answer(sub, frames.written_off(sub.stream, load=self.load), "written_off")
@@ -125,6 +136,8 @@
                 self.link.send(lines.halt(sub.call))
             self.drop(sub)
         self.rules, self.wakes = self.make_rules(False, 0.0), [(now, 0)]
+        if self.stop_at is not None:
+            self.put_later(msg.Leaving(self.stop_at - now))
 
     # ---- what comes in
 
@@ -142,6 +155,12 @@
             if sub.run == SENT:
                 sub.run = DOUBTED
 
+    def on_notices_missed(self, now, m):
+        """An end may be among them."""
+        for sub in self.open.values():
+            if sub.run in (SENT, REACHED):
+                sub.run = DOUBTED
+
     def on_arrival(self, now, m):
         s, connection = m.submission, m.connection
         if self.rules is None or len(self.open) >= MOST_OPEN or s.call in self.by_call:
@@ -221,19 +240,29 @@
         self.times.add("gauge", now - self.asked_at)
         # Commands are read in order: what was sent before these gauges were asked for has arrived there.
         self.seen_mark = int(m.mark) if m.mark.isdigit() else self.seen_mark
+        doubted = []
         for sub in self.open.values():
             if sub.run == SENT and sub.sent_mark < self.seen_mark:
                 sub.run = REACHED
             if sub.reply is not None and sub.reply[0] < self.seen_mark:
                 sub.reply = None
-            if sub.run == DOUBTED and sub.halted and sub.halted < self.seen_mark:
-                self.run_over(now, sub, it.Outcome.CANCELLED, 0.0, None)  # no run was there to be stopped
+            if sub.run == DOUBTED and sub.answered and self.surely_not_running(sub):
+                doubted.append(sub)
+        for sub in doubted:
+            self.run_over(now, sub, it.Outcome.CANCELLED, 0.0, None)
+
+    def surely_not_running(self, sub):
+        """The executor was told to stop it and has told of no end since, so there was no run. Where work
+        can't be stopped, the caller's time being up has to do."""
+        if self.settings.halting is it.Halting.OFF:
+            return True
+        return sub.halted is not None and sub.halted < self.seen_mark
 
     def resume_runs(self, now):
         """After a join, when all missed notices were read: sends again what may be sent again."""
         for sub in list(self.open.values()):
             if sub.run == WANTED or sub.run == DOUBTED and sub.w.effect is it.Effect.IDEMPOTENT:
-                self.send_start(now, sub)
+                self.send_start(sub)
             if sub.reply is not None:
                 _, line, instead = sub.reply
                 self.link.send(instead or line)
@@ -255,7 +284,7 @@
     def run_over(self, now, sub, outcome, took, result):
         self.count("run." + outcome.name.lower())
         self.ledger.give_up(sub.number)
-        sub.run, sub.notice, sub.reply, sub.halting, sub.halted = IDLE, None, None, False, 0
+        sub.run, sub.notice, sub.reply, sub.halting, sub.halted = IDLE, None, None, False, None
         self.events.append(it.Ended(sub.number, outcome, took))
         if outcome is it.Outcome.DONE:
             self.answer(sub, frames.delivered(sub.stream, result, self.load), "delivered")
@@ -277,8 +306,9 @@
             self.answer(sub, frames.written_off(sub.stream, load=self.load), "written_off")
         else:
             self.answer(sub, frames.delivered(sub.stream, result, self.load), "delivered")
+        self.drop(sub)
         outcome = it.Outcome.ERROR if result is None else it.Outcome.DONE
-        self.put_later(msg.CallOver(sub.number, -1, outcome, 0.0, b""))
+        self.put_later(msg.Told(it.Ended(sub.number, outcome, 0.0)))
 
     def put_later(self, message):
         """For what a turn tells the module in the next one."""
@@ -296,11 +326,6 @@
 
     def on_call_over(self, now, m):
         sub = self.open.get(m.number)
-        if m.attempt < 0:  # a repeat that was answered from another's result
-            if sub is not None:
-                self.events.append(it.Ended(m.number, m.outcome, m.took))
-                self.drop(sub)
-            return
         if sub is None or sub.notice is None or sub.attempt != m.attempt:
             self.count("ledger.reply_of_none")
             return
@@ -323,15 +348,19 @@
         if sub is not None and m.command == "EXEC" and sub.run != IDLE:
             self.run_over(now, sub, it.Outcome.MOOT, 0.0, None)
 
+    def on_told(self, now, m):
+        self.events.append(m.event)
+
     def on_leaving(self, now, m):
-        self.leaving = True
+        self.stop_at = now + m.left
         self.reporter.tell(False)
         self.events.append(it.Leave(m.left))
 
     TAKES = {
-        msg.LinkUp: on_link_up, msg.LinkDown: on_link_down, msg.Arrival: on_arrival,
+        msg.LinkUp: on_link_up, msg.LinkDown: on_link_down, msg.NoticesMissed: on_notices_missed,
+        msg.Arrival: on_arrival,
         msg.Withdrawal: on_withdrawal, msg.ConnectionEnded: on_connection_ended, msg.Check: on_check,
-        msg.CallOver: on_call_over, msg.Leaving: on_leaving, lines.RunOver: on_run_over,
+        msg.CallOver: on_call_over, msg.Told: on_told, msg.Leaving: on_leaving, lines.RunOver: on_run_over,
         lines.CallWanted: on_call_wanted, lines.Gauged: on_gauged, lines.Diagnosed: on_diagnosed,
         lines.NotCarriedOut: on_not_carried_out,
     }
@@ -360,13 +389,13 @@
         sub = self.open.get(a.id)
         if sub is None or sub.answered or sub.run != IDLE:
             if sub is None:  # over already: the module hears that nothing was started
-                self.put_later(msg.CallOver(a.id, 0, it.Outcome.MOOT, 0.0, b""))
+                self.put_later(msg.Told(it.Ended(a.id, it.Outcome.MOOT, 0.0)))
             return
-        self.send_start(now, sub)
+        self.send_start(sub)
 
-    def send_start(self, now, sub):
-        sub.run_at, sub.sent_mark = now, self.mark
-        sub.run = SENT if self.link.send(lines.start(sub.call, sub.workload, sub.body)) else WANTED
+    def send_start(self, sub):
+        sent = self.link.send(lines.start(sub.call, sub.workload, sub.body))
+        sub.run, sub.ran, sub.sent_mark = SENT if sent else WANTED, sub.ran or sent, self.mark
 
     def do_halt(self, now, a):
         sub = self.open.get(a.id)
@@ -374,12 +403,15 @@
             return
         if sub.run == WANTED:  # never sent
             sub.run = IDLE
-            self.put_later(lines.RunOver(0, sub.call, lines.End.STOPPED, 0.0, b""))
+            self.put_later(msg.Told(it.Ended(a.id, it.Outcome.CANCELLED, 0.0)))
+            if sub.answered:
+                self.drop(sub)
+            return
         sub.halting = True
         self.send_halt(sub)
 
     def send_halt(self, sub):
-        sub.halted = self.mark + 1 if self.link.send(lines.halt(sub.call)) else 0
+        sub.halted = self.mark if self.link.send(lines.halt(sub.call)) else None
 
     def do_turn_back(self, now, a):
         sub = self.open.get(a.id)
--- a/valeturn/routing/gateways.py
+++ b/valeturn/routing/gateways.py
@@ -17,26 +17,23 @@
     def __init__(self, gateways, stream):
         self.gateways, self.stream = gateways, stream
         self.open, self.ended, self.no_more = set(), False, False
+        self.closing = self.finishing = False
         self.used_up_to, self.used = 0, set()  # streams seen: all up to the first, and those above
         self.idle_since = gateways.scheduler.clock()
 
     def run(self):
         decoder, put = frames.FrameDecoder(), self.gateways.put
         try:
-            while not self.ended:
+            while not self.closing:
                 got = self.stream.read()
                 if isinstance(got, Trouble):
                     self.gateways.count("gateway.ended." + got.name.lower())
                     break
                 for message in decoder.feed(got):
-                    self.take(message, put)
-                    if isinstance(message, frames.Broken):
-                        return
-        except Exception:
-            self.gateways.count("gateway.ended.fault")
-            raise
+                    if not self.closing:
+                        self.take(message, put)
         finally:
-            if not decoder.broken or self.stream.trouble is not None:
+            if not self.closing:
                 self.end()
 
     def take(self, message, put):
@@ -98,18 +95,21 @@
             self.idle_since = self.gateways.scheduler.clock()
         if not self.ended:
             self.stream.write(data)
-        if not self.open and self.closing:
-            self.close_soon()
-
-    closing = False
+        if self.closing:
+            self.close_when_answered()
 
     def close_when_answered(self):
+        """After an error on it: all that is open is answered, then the connection ends."""
         self.closing = True
-        if not self.open:
-            self.close_soon()
+        if not self.open and not self.ended and not self.finishing:
+            self.finishing = True
+            self.gateways.scheduler.spawn(self.finish, name="finish")
 
-    def close_soon(self):
-        self.gateways.scheduler.call_later(0.05 if self.stream.unsent else 0.0, self.end)
+    def finish(self):
+        try:
+            self.stream.finish(CLOSING)
+        finally:
+            self.end()
 
     def ask_to_close(self):
         """No new submission comes after this; the gateway closes when all are answered."""
--- a/valeturn/routing/messages.py
+++ b/valeturn/routing/messages.py
@@ -37,6 +37,10 @@
     pass
 
 
+class NoticesMissed(NamedTuple):
+    """The executor no longer keeps some that were not read."""
+
+
 class CallOver(NamedTuple):
     number: int  # of the submission
     attempt: int
@@ -45,8 +49,10 @@
     body: bytes
 
 
-class CheckLate(NamedTuple):
-    mark: str
+class Told(NamedTuple):
+    """What a turn found out and the module is to hear in the next one."""
+
+    event: object
 
 
 class Leaving(NamedTuple):
--- a/valeturn/transport/scheduler.py
+++ b/valeturn/transport/scheduler.py
@@ -111,16 +111,18 @@
         ways = self.waiting.setdefault(fd, {})
         if way in ways:
             raise RuntimeError("two tasks wait for one descriptor")
-        ways[way] = greenlet.getcurrent()
+        task = ways[way] = greenlet.getcurrent()
         self.poller.register(fd, sum(ways))
         try:
             return self.wait(timeout, False)
         finally:
-            self.unwatch(fd, way)
+            self.unwatch(fd, way, task)
 
-    def unwatch(self, fd, way):
+    def unwatch(self, fd, way, task=None):
+        """Of one task alone, where it is named: a closed descriptor's number may be in use again."""
         ways = self.waiting.get(fd)
-        if ways is not None and ways.pop(way, None):
+        if ways is not None and way in ways and task in (None, ways[way]):
+            del ways[way]
             if ways:
                 self.poller.register(fd, sum(ways))
             else:
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -73,6 +73,20 @@
                 del self.unsent[:self._send(self.unsent)]
         self.writer = None
 
+    def finish(self, patience):
+        """Ends so that the other side can read all that was written: to close with bytes unread breaks it."""
+        until = self.scheduler.clock() + patience
+        while self.unsent and self.trouble is None and self.scheduler.clock() < until:
+            self.scheduler.sleep(0.01)
+        if self.trouble is None:
+            try:
+                self.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                pass
+            while isinstance(self.read(max(0.0, until - self.scheduler.clock())), bytes):
+                pass
+        self.close()
+
     def quiet(self):
         """True while the other side has sent nothing and not closed: such a kept connection may be used."""
         try:
