An ending task goes back to the loop, not into the task that spawned it

Seen in a test of calls given up: a wait of 50 ms ended at once. A greenlet that ends switches to its parent, which was whoever spawned it, so a spawner's wait ended early (Scheduler.resume in transport/scheduler.py). Ruled out: the poll (the descriptor was told in time) and the timers (the wait's own had not gone off). Tests of the transport, the connections to outsiders, the program and the whole on loopback with the toy.

--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,222 @@
+"""Configuration, log, counters, the command line, and the whole program on loopback with the toy."""
+
+import json
+import logging
+import os
+import pathlib
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+
+import pytest
+from helpers import frame, submission
+
+from valeturn.program import configuration, logs
+from valeturn.program.counters import Counters
+
+ROOT = pathlib.Path(__file__).parent.parent
+CONFIG = json.loads((ROOT / "examples/config.json").read_text())
+
+
+def changed(path, value):
+    """The example with the value at a dotted path changed, or left out where it is ..."""
+    raw = json.loads(json.dumps(CONFIG))
+    *way, last = path.split(".")
+    at = raw
+    for step in way:
+        at = at[int(step) if step.isdigit() else step]
+    if value is ...:
+        del at[last]
+    else:
+        at[last] = value
+    return raw
+
+
+def test_the_example_is_good_and_the_environment_goes_first():
+    c = configuration.decode(CONFIG, {"EDGE_NAME": "n9", "EDGE_LISTEN": "127.0.0.4:99"})
+    assert (c.name, c.listen, c.executor, c.seed, c.stop) == (
+        "n9",
+        ("127.0.0.4", 99),
+        ("127.0.0.1", 7300),
+        0x5EED,
+        3.0,
+    )
+    assert c.names.settings.cores == 2 and c.names.settings.workloads[2].cut_off == 3.0
+    configuration.decode(changed("new", {"unknown": 1}))
+
+
+@pytest.mark.parametrize(
+    "path, value, field",
+    [
+        ("name", ..., "name"),
+        ("name", "a/b", "name"),
+        ("listen", "4100", "listen"),
+        ("listen", "h:0", "listen"),
+        ("executor", ..., "executor"),
+        ("ledger", 5, "ledger"),
+        ("naming", "h:x", "naming"),
+        ("seed", "xyz", "seed"),
+        ("stop_ms", "soon", "stop_ms"),
+        ("stop_ms", -1, "stop_ms"),
+        ("limits.sockets", 3, "limits.sockets"),
+        ("limits", [], "limits"),
+        ("settings", 3, "settings"),
+        ("settings.request_classes", [], "request_classes"),
+        ("settings.request_classes", [{}], "settings"),
+        ("settings.domain.cpus", 0, "domain.cpus"),
+        ("settings.domain.heap_kb", "much", "domain.heap_kb"),
+        ("settings.rules.cold_ms", -5, "rules.cold_ms"),
+        ("settings.request_classes.0.name", "file", "request_classes[2].name"),
+        ("settings.request_classes.1.goal_time_ms", 0, "request_classes[1].goal_time_ms"),
+    ],
+)
+def test_a_wrong_configuration_is_told_in_one_line_that_names_the_field(path, value, field):
+    with pytest.raises(configuration.Wrong) as wrong:
+        configuration.decode(changed(path, value))
+    assert field in str(wrong.value) and "\n" not in str(wrong.value)
+
+
+def command(*words, **environment):
+    keep = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
+    return subprocess.run(
+        [sys.executable, "-m", "valeturn", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={**keep, **environment},
+    )
+
+
+def test_the_command_line_says_what_it_can_and_what_is_wrong(tmp_path):
+    assert command("version").stdout == "valeturn 0.2.0\n" and "serve" in command("--help").stdout
+    assert command("check", "examples/config.json").returncode == 0
+    bad = tmp_path / "bad.json"
+    bad.write_text("{")
+    for done in (
+        command(),
+        command("serve", "--config", str(bad)),
+        command("check", str(bad)),
+        command("odd"),
+    ):
+        assert done.returncode == 2 and done.stderr and not done.stdout
+    assert command(EDGE_CONFIG=str(bad)).stderr.count("\n") == 1
+
+
+def test_log_lines_are_key_value_and_quoted_where_needed():
+    record = logging.makeLogRecord({"msg": "drained", "created": 12.3456, "levelname": "INFO"})
+    record.fields = {"server": "n3", "text": 'a "b"\nc', "took": 0.25, "empty": ""}
+    assert logs.KeyValue().format(record) == (
+        'at=12.346 level=info event=drained server=n3 text="a \\"b\\"\\nc" took=0.25 empty=""'
+    )
+
+
+def test_counters_are_grouped_by_their_first_part():
+    counters = Counters()
+    for name in ("in.submissions", "out.delivered", "in.submissions"):
+        counters.add(name)
+    counters.times.add("decide", 0.001)
+    counters.times.add("decide", 0.003)
+    assert counters.groups() == {"in": {"submissions": 2}, "out": {"delivered": 1}}
+    assert counters.times.means() == pytest.approx({"decide": 2.0, "decide_most": 3.0})
+
+
+# ---- the whole program
+
+
+@pytest.fixture
+def server(tmp_path):
+    """A server with the toy's stand-ins, on loopback addresses of this process's own."""
+    own = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}.{1 + os.getpid() // 25000 % 250}"
+    raw = changed("stop_ms", 2000)
+    for field in ("listen", "executor", "ledger", "naming"):
+        raw[field] = f"{own}:{raw[field].rpartition(':')[2]}"
+    (tmp_path / "config.json").write_text(json.dumps(raw))
+    toy = subprocess.Popen(
+        [sys.executable, "examples/toy.py", raw["executor"], raw["ledger"], raw["naming"]],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert toy.stdout.readline() == "ready\n"
+    run = subprocess.Popen(
+        [sys.executable, "-m", "valeturn"],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")},
+    )
+    lines = []
+    while "event=welcome" not in "".join(lines):
+        lines.append(run.stderr.readline())
+        assert lines[-1], lines
+    yield run, (own, 4100), toy
+    for process in (run, toy):
+        process.kill()
+        process.wait()
+
+
+def answers(sock, count):
+    """Stream -> (code, body) of so many answers without fields, and the frames that are none."""
+    data, got, others = b"", {}, []
+    while len(got) < count:
+        data += sock.recv(65536) or pytest.fail("closed")
+        while len(data) >= 9 and len(data) >= 4 + struct.unpack_from("<I", data)[0]:
+            length, kind, stream = struct.unpack_from("<IBI", data)
+            if kind == 8:
+                assert stream not in got, "two answers"
+                got[stream] = data[9], data[11 : 4 + length]
+            else:
+                others.append(data[: 4 + length])
+            data = data[4 + length :]
+    return got, others
+
+
+def submit(stream, workload):
+    return submission(
+        stream,
+        op=workload,
+        call=f"{stream:016x}",
+        recv=str(int(1000 * time.time())),
+        ttl="9000",
+        body=b"parcel %d" % stream,
+    )
+
+
+def test_submissions_are_served_and_a_drain_answers_all_and_ends_well(server):
+    run, address, toy = server
+    with socket.create_connection(address, timeout=20) as sock, socket.create_connection(address) as other:
+        sock.sendall(submit(1, "quote") + submit(2, "look-up") + submit(3, "odd") + frame(1, 4, b"\0"))
+        got, others = answers(sock, 3)
+        assert got == {1: (1, b"parcel 1 [about parcel 1]"), 2: (1, b"parcel 2"), 3: (0, b"")}
+        assert others == [frame(2, 4, b"\x01\x00")]
+        other.sendall(b"\xff\xff\xff\xff garbage")
+        assert answers(other, 1)[0] == {0: (9, b"")} and other.recv(9) == b""
+        sock.sendall(submit(10, "file"))
+        time.sleep(0.05)
+        run.send_signal(signal.SIGTERM)
+        got, others = answers(sock, 1)
+        assert got == {10: (1, b"parcel 10 [about parcel 10]")}
+        while frame(3, 0) not in others:
+            others.append(sock.recv(9) or pytest.fail("closed before the last word"))
+    _, log = run.communicate(timeout=20)
+    assert run.returncode == 0 and "event=ended" in log and "clean=True" in log
+    assert "group=out" in log and "delivered=3" in log and "errors" not in log and "level=error" not in log
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(address, timeout=5)
+
+
+def test_counters_are_printed_on_a_signal(server):
+    run, address, _ = server
+    with socket.create_connection(address, timeout=20) as sock:
+        sock.sendall(submit(1, "look-up"))
+        answers(sock, 1)
+        run.send_signal(signal.SIGUSR1)
+        lines = []
+        while not lines or "group=process" not in lines[-1]:
+            lines.append(run.stderr.readline())
+        assert any("group=in" in line and "submissions=1" in line for line in lines)
+        assert "cpu_ms_per_submission=" in lines[-1] and "lag_most_ms=" in lines[-1]
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,445 @@
+"""Scheduler, streams, and the connections to outsiders, each of which may do anything at any byte."""
+
+import socket
+
+import pytest
+
+from valeturn.interface import Outcome
+from valeturn.protocol import executor as lines
+from valeturn.routing import messages as msg
+from valeturn.routing.executor import ExecutorLink
+from valeturn.routing.gateways import Connection, Gateways
+from valeturn.routing.ledger import Ledger
+from valeturn.routing.naming import Reporter
+from valeturn.transport.chance import Backoff, Chance
+from valeturn.transport.listener import Listener
+from valeturn.transport.scheduler import Mailbox, Scheduler
+from valeturn.transport.streams import Stream, Trouble, connect
+
+from helpers import frame, submission
+
+
+@pytest.fixture
+def scheduler():
+    return Scheduler(on_failure=lambda task, error: FAILED.append((task.name, error)))
+
+
+FAILED = []
+
+
+def run(scheduler, *functions):
+    """Runs all to their ends and stops; a test that hangs is stopped after 20 s."""
+    FAILED.clear()
+    left = [len(functions)]
+
+    def whole(function):
+        try:
+            function()
+        finally:
+            left[0] -= 1
+            if not left[0]:
+                scheduler.stop()
+
+    for function in functions:
+        scheduler.spawn(whole, function, name="test")
+    scheduler.call_later(20.0, scheduler.stop)
+    scheduler.run()
+    assert not left[0], "hung"
+    for _, error in FAILED:
+        raise error
+
+
+def serve(scheduler, *answers, keep=()):
+    """A scripted outsider: for each connection in turn, what it sends after the first bytes; None closes,
+    a float hangs so long. Returns its address and what it has read."""
+    took, script = [], list(answers)
+
+    def one(stream):
+        while script:
+            got = stream.read()
+            if not isinstance(got, bytes):
+                break
+            took.append(got)
+            for part in script.pop(0):
+                if isinstance(part, float):
+                    scheduler.sleep(part)
+                elif part is None:
+                    stream.close()
+                    return
+                else:
+                    stream.write(part)
+                    scheduler.pause()
+        scheduler.sleep(15.0)
+
+    listener = Listener(scheduler, ("127.0.0.1", 0), 100, lambda stream: scheduler.spawn(one, stream))
+    return listener.sock.getsockname(), took
+
+
+# ---- the scheduler
+
+
+def test_ready_tasks_run_in_order_and_late_ones_after_all_that_is_ready(scheduler):
+    seen = []
+
+    def early(name):
+        seen.append(name)
+        scheduler.pause()
+        seen.append(name + " again")
+
+    scheduler.spawn(seen.append, "late", late=True)
+    run(scheduler, lambda: early("a"), lambda: early("b"))
+    assert [name for name in seen if name != "late"] == ["a", "b", "a again", "b again"]
+    assert seen.index("late") >= 2
+
+
+def test_late_tasks_are_not_starved(scheduler):
+    seen, box = [], Mailbox(scheduler, 10)
+    scheduler.spawn(lambda: seen.append(len(box.take_all())), late=True)
+
+    def busy():
+        box.put(1)
+        for _ in range(50):
+            scheduler.pause()
+            if seen:
+                return
+        raise AssertionError("starved")
+
+    run(scheduler, busy)
+
+
+def test_timers_go_off_by_time_and_cancelled_ones_never(scheduler):
+    seen = []
+    scheduler.call_later(0.02, seen.append, "second")
+    scheduler.call_later(0.01, seen.append, "first")
+    scheduler.call_later(0.015, seen.append, "never").cancel()
+    run(scheduler, lambda: scheduler.sleep(0.05))
+    assert seen == ["first", "second"]
+
+
+def test_a_cancelled_task_cleans_up_and_a_failing_one_ends_alone(scheduler):
+    seen = []
+
+    def waiting():
+        try:
+            scheduler.sleep(30)
+        finally:
+            seen.append("cleaned up")
+
+    def spawning():
+        scheduler.spawn(seen.append, "ends while its spawner waits")
+        scheduler.sleep(30)
+        seen.append("waited")
+
+    task = scheduler.spawn(waiting)
+    scheduler.spawn(spawning)
+    never = scheduler.spawn(seen.append, "never")
+    scheduler.cancel(never)
+    bad = scheduler.spawn(lambda: 1 / 0, name="bad")
+
+    def test():
+        scheduler.sleep(0.01)
+        assert seen == ["ends while its spawner waits"]
+        scheduler.cancel(task)
+        scheduler.pause()
+        assert seen[1] == "cleaned up" and bad.dead and FAILED[0][0] == "bad"
+        FAILED.clear()
+
+    run(scheduler, test)
+
+
+def test_a_full_mailbox_holds_putters_up_and_loses_nothing(scheduler):
+    box, taken = Mailbox(scheduler, 3), []
+
+    def owner():
+        while len(taken) < 10:
+            got = box.take_all(5.0)
+            assert len(got) <= 3
+            taken.extend(got)
+
+    def putter():
+        for number in range(10):
+            box.put(number)
+
+    run(scheduler, owner, putter)
+    assert taken == list(range(10))
+
+
+def test_back_off_doubles_up_to_its_most_by_the_seed():
+    backoff = Backoff(Chance(7), 0.1, 0.5)
+    waits = [backoff.next() for _ in range(6)]
+    assert all(least / 2 <= wait <= least for wait, least in zip(waits, (0.1, 0.2, 0.4, 0.5, 0.5, 0.5)))
+    assert [Backoff(Chance(7), 0.1, 0.5).next() for _ in range(2)] == waits[:1] * 2
+
+
+# ---- streams
+
+
+def test_a_slow_reader_is_bounded_and_what_fits_arrives_whole(scheduler):
+    near, far = socket.socketpair(socket.AF_UNIX)
+    near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+    class Plain(Stream):
+        def __init__(self, sock, most):
+            self.scheduler, self.sock, self.most_unsent = scheduler, sock, most
+            self.unsent, self.writer, self.trouble = bytearray(), None, None
+            sock.setblocking(False)
+
+    one, other, got = Plain(near, 1 << 20), Plain(far, 1), bytearray()
+
+    def test():
+        assert one.write(b"a" * 300000) and one.write(b"b" * 10) and one.unsent
+        while len(got) < 300010:
+            got.extend(other.read(5.0))
+        assert got == b"a" * 300000 + b"b" * 10 and not one.unsent
+        one.most_unsent = 1000
+        assert not one.write(b"c" * 5000000) and one.trouble is Trouble.RESET and not one.write(b"d")
+
+    run(scheduler, test)
+
+
+def test_a_refused_connection_is_a_value(scheduler):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        got = []
+        run(scheduler, lambda: got.append(connect(scheduler, taken.getsockname(), 1.0)))
+    assert got == [Trouble.REFUSED]
+
+
+def test_past_its_budget_the_listener_waits_and_goes_on_when_one_is_released(scheduler):
+    came = []
+    listener = Listener(scheduler, ("127.0.0.1", 0), 2, came.append)
+
+    def test():
+        for _ in range(3):
+            assert isinstance(connect(scheduler, listener.sock.getsockname(), 1.0), Stream)
+        scheduler.sleep(0.08)
+        assert len(came) == 2 and listener.shortages
+        listener.released()
+        for _ in range(100):
+            scheduler.sleep(0.01)
+            if len(came) == 3:
+                return
+        raise AssertionError("not taken up again")
+
+    run(scheduler, test)
+
+
+# ---- the ledger
+
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize("script, outcome", [
+    ([GOOD], Outcome.DONE), ([GOOD[:20], 0.01, GOOD[20:]], Outcome.DONE),
+    ([b"HTTP/1.1 503 No\r\nX-Untouched: 1\r\nContent-Length: 0\r\n\r\n"], Outcome.REFUSED),
+    ([b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"], Outcome.ERROR),
+    ([b"HTTP/1.1 409 No\r\nX-Untouched: 1\r\nContent-Length: 0\r\n\r\n"], Outcome.MOOT),
+    ([b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"], Outcome.ERROR),
+    ([b"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n"], Outcome.TIMED_OUT),
+    ([None], Outcome.RESET), ([GOOD[:30], None], Outcome.RESET), ([b"garbage\r\n\r\n"], Outcome.RESET),
+    ([5.0], Outcome.TIMED_OUT), ([GOOD[:30], 5.0], Outcome.TIMED_OUT)])
+def test_a_call_s_outcome_says_what_is_proved(scheduler, script, outcome):
+    address, took = serve(scheduler, script)
+    box = Mailbox(scheduler, 10)
+    ledger = Ledger(scheduler, address, 8, box.put, lambda *_: None)
+
+    def test():
+        ledger.call(1, 4, "ref", 0.3, b"ask")
+        over, = box.take_all(10.0)
+        assert (over.number, over.attempt, over.outcome) == (1, 4, outcome)
+        assert over.body == (b"ok" if outcome is Outcome.DONE else b"") and not ledger.out
+        assert len(took) == 1 and took[0].endswith(b"ask")
+        assert b"X-Txn-Ref: ref\r\nX-Limit-Ms: 300\r\n" in took[0]
+
+    run(scheduler, test)
+
+
+def test_a_refused_or_unbounded_call_never_ran(scheduler):
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        box = Mailbox(scheduler, 10)
+        ledger = Ledger(scheduler, closed.getsockname(), 1, box.put, lambda *_: None)
+
+        def test():
+            ledger.call(1, 1, "a", 0.3, b"")
+            ledger.call(2, 1, "b", 0.3, b"")
+            got = []
+            while len(got) < 2:
+                got += box.take_all(5.0)
+            assert {over.number: over.outcome for over in got} == {1: Outcome.UNREACHED, 2: Outcome.UNREACHED}
+
+        run(scheduler, test)
+
+
+def test_a_connection_is_used_again_but_not_one_that_the_ledger_closed(scheduler):
+    address, took = serve(scheduler, [GOOD], [GOOD, None], [GOOD])
+    box, counts = Mailbox(scheduler, 10), []
+    ledger = Ledger(scheduler, address, 8, box.put, lambda name: counts.append(name))
+
+    def test():
+        for number in range(3):
+            ledger.call(number, 1, "a", 5.0, b"")
+            assert box.take_all(10.0)[0].outcome is Outcome.DONE
+            scheduler.sleep(0.05)
+        assert counts.count("ledger.connections") == 2 and len(took) == 3
+
+    run(scheduler, test)
+
+
+def test_a_call_given_up_closes_its_connection_and_says_nothing(scheduler):
+    ends = []
+
+    def one(stream):
+        while isinstance(got := stream.read(), bytes):
+            pass
+        ends.append(got)
+
+    listener = Listener(scheduler, ("127.0.0.1", 0), 9, lambda stream: scheduler.spawn(one, stream))
+    box = Mailbox(scheduler, 10)
+    ledger = Ledger(scheduler, listener.sock.getsockname(), 8, box.put, lambda *_: None)
+
+    def test():
+        ledger.call(1, 1, "a", 5.0, b"")
+        scheduler.sleep(0.05)
+        ledger.give_up(1)
+        assert not box.take_all(0.05) and not ledger.out and len(ends) == 1
+
+    run(scheduler, test)
+
+
+# ---- executor and name service
+
+WELCOME = b'{"t":"WELCOME","status":"steady","time_ms":9000}\n'
+EXIT = b'{"t":"EXIT","no":%d,"rid":"a","status":"success","time_ms":1}\n'
+
+
+def test_the_link_is_joined_again_from_the_last_notice_and_each_is_passed_on_once(scheduler):
+    address, took = serve(scheduler, [WELCOME + EXIT % 1, 0.05, None], [b"garbage\n", 0.05],
+                          [WELCOME + EXIT % 1 + EXIT % 2 + EXIT % 4, 0.01])
+    box = Mailbox(scheduler, 50)
+    ExecutorLink(scheduler, address, Chance(1), box.put, lambda *_: None)
+
+    def test():
+        got = []
+        while sum(isinstance(m, lines.RunOver) for m in got) < 3:
+            got += box.take_all(10.0)
+        assert [m.number for m in got if isinstance(m, lines.RunOver)] == [1, 2, 4]
+        assert [type(m) for m in got if not isinstance(m, lines.RunOver)] == [
+            msg.LinkUp, msg.LinkDown, msg.LinkUp, msg.NoticesMissed]
+        joins = [part for part in b"".join(took).split(b"\n") if b"JOIN" in part]
+        assert [b'"no":0' in part for part in joins] == [True, False, False] and b'"no":1' in joins[2]
+
+    run(scheduler, test)
+
+
+@pytest.mark.parametrize("script", [[None], [b"nonsense\r\n\r\n"], [2.0], [GOOD], [GOOD[:25], None]])
+def test_reports_go_on_after_any_trouble_of_the_name_service(scheduler, script):
+    address, took = serve(scheduler, script, [b"HTTP/1.1 204 OK\r\n\r\n"], [b"HTTP/1.1 204 OK\r\n\r\n"])
+    counts = []
+    reporter = Reporter(scheduler, address, "n3", Chance(3), counts.append)
+
+    def test():
+        for _ in range(400):
+            scheduler.sleep(0.01)
+            if "naming.reports" in counts:
+                break
+        assert "naming.failed" in counts and "naming.reports" in counts
+        reporter.tell(True)
+        scheduler.sleep(0.3)
+        assert took[0].startswith(b"PUT /ns/hosts/n3 HTTP/1.1\r\n") and took[0].endswith(b'{"serving":"no"}')
+        assert took[-1].endswith(b'{"serving":"yes"}'), "a change is told at once"
+
+    run(scheduler, test)
+
+
+# ---- gateway connections
+
+
+class Written:
+    """The end of a connection that keeps what is written."""
+
+    def __init__(self, *reads):
+        self.reads, self.data, self.closed, self.trouble, self.unsent = list(reads), b"", False, None, b""
+
+    def read(self, timeout=None):
+        return self.reads.pop(0) if self.reads else Trouble.CLOSED
+
+    def write(self, data):
+        self.data += data
+
+    def finish(self, patience):
+        self.closed = True
+
+    def close(self):
+        self.closed = True
+
+
+def connection(scheduler, *reads):
+    put = []
+    gateways = Gateways(scheduler, put.append, lambda name: name == "quote", lambda *_: None, lambda *_: None)
+    made = Connection(gateways, Written(*reads))
+    gateways.connections[made] = None
+    return made, put
+
+
+def test_reads_become_messages_and_the_end_of_the_connection_the_last(scheduler):
+    data = submission(1) + submission(2) + frame(9, 1) + frame(1, 5, b"\0")
+    made, put = connection(scheduler, data[:40], data[40:200], data[200:])
+    run(scheduler, made.run, lambda: scheduler.sleep(0.01))
+    kinds = [msg.Arrival, msg.Arrival, msg.Withdrawal, msg.Check, msg.ConnectionEnded]
+    assert [type(m) for m in put] == kinds
+    assert made.open == {2} and made.stream.closed
+
+
+@pytest.mark.parametrize("bad, stream", [
+    (submission(7, op="unheard"), 7), (submission(7, heap=None), 7), (submission(7, body=b"x" * 3000), 7)])
+def test_a_bad_submission_gets_a_true_answer_and_the_connection_goes_on(scheduler, bad, stream):
+    made, put = connection(scheduler, bad + submission(8))
+    run(scheduler, made.run)
+    assert made.stream.data == frame(8, stream, b"\x00\x00") and isinstance(put[0], msg.Arrival)
+
+
+def test_more_than_may_be_open_is_turned_back_and_answers_make_room(scheduler):
+    made, put = connection(scheduler, b"".join(submission(n) for n in range(1, 34)))
+    run(scheduler, made.run)
+    assert len(made.open) == 32 and made.stream.data == frame(8, 33, b"\x00\x00")
+    made.answer(5, b"")
+    made.take(put[0].submission._replace(stream=34), put.append)
+    assert len(made.open) == 32 and 34 in made.open
+
+
+@pytest.mark.parametrize("bad", [submission(1), frame(5, 1), b"\x00\x00\x00\x00", frame(7, 2, b"\x05")])
+def test_an_error_ends_the_connection_when_what_is_open_has_its_answers(scheduler, bad):
+    made, put = connection(scheduler, submission(1) + bad + submission(9))
+
+    def test():
+        made.run()
+        assert made.stream.data == frame(8, 0, b"\x09\x00") and len(put) == 1 and not made.stream.closed
+        made.answer(1, b"answer")
+        scheduler.sleep(0.01)
+        assert made.stream.closed and made.stream.data.endswith(b"answer")
+
+    run(scheduler, test)
+
+
+def test_streams_out_of_order_are_new_and_remembered_within_bounds(scheduler):
+    made, _ = connection(scheduler)
+    assert all(made.is_new(n) for n in (2, 1, 5, 3)) and not any(made.is_new(n) for n in (1, 2, 3, 5))
+    assert made.used_up_to == 3 and made.used == {5}
+    assert all(made.is_new(n) for n in range(10, 30000, 2)) and len(made.used) <= 4096 + 1
+
+
+def test_unused_connections_are_asked_to_close_and_open_ones_are_not(scheduler):
+    made, _ = connection(scheduler)
+    gateways = made.gateways
+    gateways.idle_after, made.idle_since = 0.1, scheduler.clock() - 0.2
+    made.open = {1}
+    gateways.close_idle()
+    assert not made.stream.data
+    made.open = set()
+    gateways.close_idle()
+    assert made.stream.data == frame(3, 0) and not made.stream.closed
+    made.idle_since -= 2.0
+    scheduler.hub = None
+    gateways.close_idle()
+    assert made.stream.closed
--- a/valeturn/transport/scheduler.py
+++ b/valeturn/transport/scheduler.py
@@ -180,6 +180,8 @@
         if task.dead:
             return
         self.turns += 1
+        if task.parent is not self.hub:  # an ending task goes to its parent, which else is who spawned it
+            task.parent = self.hub
         try:
             if task.doomed and not task:  # never started: nothing in it to clean up
                 task.throw(Cancelled)
