--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -85,6 +85,19 @@
     assert set(ends.core.open) == {first, third}, "one runs on, one is another caller's"
 
 
+def test_a_try_that_comes_again_is_one_submission_with_one_answer(caller):
+    ends, other = Ends(), Caller()
+    _, call = ends.arrive("file", caller, do=[it.Start])
+    ends.arrive("file", other, call=call)
+    assert len([e for e in ends.heard if isinstance(e, it.Arrived)]) == 1
+    ends.turn(msg.ConnectionEnded(caller))
+    ends.arrive("file", caller, call=call)
+    ends.turn(msg.ConnectionEnded(caller))
+    ends.arrive("file", other, call=call)
+    ends.turn(over(call))
+    assert caller.answers == [] and other.answers == [(4, WRITTEN_OFF, b"")]
+
+
 def test_calls_go_out_once_and_replies_come_back_unchanged(caller):
     ends = Ends()
     number, call = ends.arrive("file", caller, do=[it.Start])
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -163,10 +163,13 @@
 
     def on_arrival(self, now, m):
         s, connection = m.submission, m.connection
-        if self.rules is None or len(self.open) >= MOST_OPEN or s.call in self.by_call:
-            self.count("in.unreadable.over_all" if self.rules is not None else "in.too_early")
+        if self.rules is None or len(self.open) >= MOST_OPEN:
+            self.count("in.too_early" if self.rules is None else "in.over_all")
             connection.answer(s.stream, frames.turned_back(s.stream))
             return
+        if s.call in self.by_call:
+            self.come_again(self.by_call[s.call], connection, s.stream)
+            return
         self.numbers += 1
         number, workload = self.numbers, self.names.workloads[s.workload]
         w = self.settings.workloads[workload]
@@ -184,6 +187,17 @@
             retry=s.retry, subject=s.subject, caller=s.caller, memory=s.memory, left=left, repeats=repeats,
             cost_hint=s.hint))
 
+    def come_again(self, sub, connection, stream):
+        """The same try on another connection, as after one that was closed under it: one submission with one
+        answer, which goes where it was asked for last. Where its caller seemed to be gone, it may have run."""
+        self.count("in.again")
+        if sub.answered:
+            connection.answer(stream, frames.written_off(stream, load=self.load))
+        else:
+            self.by_stream.pop((sub.connection, sub.stream), None)
+            sub.connection, sub.stream = connection, stream
+            self.by_stream[connection, stream] = sub
+
     def key_of(self, s, workload, w):
         """What a repeat shares with the one it repeats: the mark of a deduplicated one, else what is read."""
         if w.effect is it.Effect.DEDUPLICATED:
--- a/valeturn/routing/gateways.py
+++ b/valeturn/routing/gateways.py
@@ -127,14 +127,12 @@
 class Gateways:
     def __init__(self, scheduler, put, known, count, log):
         self.scheduler, self.put, self.known, self.count, self.log = scheduler, put, known, count, log
-        self.connections, self.listener, self.idle_after, self.leaving = {}, None, 0.0, False
-        self.most_seen = 0
+        self.connections, self.listener, self.idle_after = {}, None, 0.0
 
     def accept(self, stream):
         connection = Connection(self, stream)
         self.connections[connection] = None
         self.count("gateway.connections")
-        self.most_seen = max(self.most_seen, len(self.connections))
         self.scheduler.spawn(connection.run, name="gateway")
 
     def forget(self, connection):
@@ -154,6 +152,5 @@
                     connection.end()
 
     def ask_all_to_close(self):
-        self.leaving = True
         for connection in list(self.connections):
             connection.ask_to_close()
--- a/valeturn/routing/naming.py
+++ b/valeturn/routing/naming.py
@@ -14,26 +14,27 @@
     def __init__(self, scheduler, address, name, chance, count):
         self.scheduler, self.address, self.name, self.count = scheduler, address, name, count
         self.backoff = Backoff(chance, 0.05, EVERY)
-        self.host, self.stream, self.serving = f"{address[0]}:{address[1]}", None, False
+        self.host, self.stream, self.serving, self.idle = f"{address[0]}:{address[1]}", None, False, False
         self.task = scheduler.spawn(self.run, name="naming")
 
     def tell(self, serving):
-        """Reports a change at once."""
+        """A change is reported at once, or right after the report that is on its way."""
         if serving != self.serving:
             self.serving = serving
-            self.scheduler.wake(self.task) if self.idle else None
-
-    idle = False
+            if self.idle:
+                self.scheduler.wake(self.task)
 
     def run(self):
         while True:
+            serving = self.serving
             good = self.report()
             self.count("naming.reports" if good else "naming.failed")
             if good:
                 self.backoff.reset()
-            self.idle = True
-            self.scheduler.wait(EVERY if good else self.backoff.next())
-            self.idle = False
+            if not good or serving == self.serving:
+                self.idle = True
+                self.scheduler.wait(EVERY if good else self.backoff.next())
+                self.idle = False
 
     def report(self):
         until = self.scheduler.clock() + PATIENCE
