--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -114,6 +114,23 @@
     )
 
 
+def test_a_log_that_nobody_reads_holds_nothing_up():
+    reads, writes = os.pipe()
+    handler = logs.NeverWaiting(writes)
+    record = logging.makeLogRecord({"msg": "x" * 3000, "created": 1.0, "levelname": "INFO"})
+    for _ in range(100):
+        handler.emit(record)
+    assert 0 < handler.dropped < 100
+    os.read(reads, 1 << 20)
+    handler.emit(record)
+    assert os.read(reads, 1 << 20).endswith(b"x\n")
+    os.close(reads)
+    dropped = handler.dropped
+    handler.emit(record)
+    assert handler.dropped == dropped + 1
+    os.close(writes)
+
+
 def test_counters_are_grouped_by_their_first_part():
     counters = Counters()
     for name in ("in.submissions", "out.delivered", "in.submissions"):
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -100,6 +100,20 @@
     assert decoder.feed(submission(3)) == []
 
 
+def test_a_large_frame_is_passed_over_without_being_held():
+    large = submission(1, body=b"x" * 200000)
+    data = large + submission(2) + submission(3, body=b"y" * 20000) + submission(4)
+    for size in (1000, 65536, len(data)):
+        decoder, got = frames.FrameDecoder(), []
+        for start in range(0, len(data), size):
+            got += decoder.feed(data[start : start + size])
+            assert len(decoder.held) <= frames.KEPT
+        assert [type(m) for m in got] == [frames.Unreadable, frames.Submitted] * 2
+        assert [m.stream for m in got] == [1, 2, 3, 4]
+    got = frames.FrameDecoder().feed(frame(9, 1, b"x" * 20000) + submission(2))
+    assert [type(m) for m in got] == [frames.Broken]
+
+
 def test_random_bytes_never_raise_and_are_held_within_one_frame():
     chance = random.Random(5)
     for _ in range(300):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -188,6 +188,16 @@
     assert rejoin(ends) == [], "known to have arrived"
 
 
+def test_a_reply_made_without_a_link_is_sent_as_it_is(caller):
+    ends = Ends()
+    number, call = ends.arrive("read", caller, do=[it.Start])
+    ends.turn(lines.CallWanted(1, call, b"ask"), do=[it.Call(number, 0.2)])
+    ends.up = False
+    ends.turn(msg.LinkDown())
+    ends.turn(msg.CallOver(number, ends.calls[0][1], it.Outcome.DONE, 0.1, b"said"))
+    assert rejoin(ends) == [("RETURN", call)]
+
+
 def test_after_lost_notices_only_idempotent_runs_are_asked_for_again(caller):
     ends = Ends()
     calls = [ends.arrive(workload, caller, do=[it.Start])[1] for workload in ("read", "file")]
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -429,6 +429,16 @@
     assert all(made.is_new(n) for n in range(10, 30000, 2)) and len(made.used) <= 4096 + 1
 
 
+def test_the_slowest_readers_go_when_all_together_hold_too_much(scheduler, monkeypatch):
+    monkeypatch.setattr("valeturn.routing.gateways.UNSENT_ALL", 100)
+    slow, _ = connection(scheduler)
+    quick = Connection(slow.gateways, Written())
+    slow.gateways.connections[quick] = None
+    slow.stream.unsent, quick.stream.unsent = b"x" * 90, b"x" * 20
+    run(scheduler, slow.gateways.bound_unsent)
+    assert slow.stream.closed and not quick.stream.closed
+
+
 def test_unused_connections_are_asked_to_close_and_open_ones_are_not(scheduler):
     made, _ = connection(scheduler)
     gateways = made.gateways
--- a/valeturn/program/logs.py
+++ b/valeturn/program/logs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import os
+import select
 import sys
 
 LOGGER = logging.getLogger("valeturn")
@@ -28,8 +30,31 @@
         return pairs(fields)
 
 
+class NeverWaiting(logging.Handler):
+    """Writes to a descriptor, and drops lines while nobody takes them: a log that is not read must not hold
+    the server up. A pipe that can be written takes PIPE_BUF bytes without waiting."""
+
+    def __init__(self, descriptor):
+        super().__init__()
+        self.descriptor, self.dropped, self.poller = descriptor, 0, select.poll()
+        self.poller.register(descriptor, select.POLLOUT)
+
+    def emit(self, record):
+        data = (self.format(record) + "\n").encode(errors="replace")
+        for start in range(0, len(data), select.PIPE_BUF):
+            ready = self.poller.poll(0)
+            if not ready or ready[0][1] & ~select.POLLOUT:
+                self.dropped += 1
+                return
+            try:
+                os.write(self.descriptor, data[start:start + select.PIPE_BUF])
+            except OSError:
+                self.dropped += 1
+                return
+
+
 def set_up(name, level=logging.INFO):
-    handler = logging.StreamHandler(sys.stderr)
+    handler = NeverWaiting(sys.stderr.fileno())
     handler.setFormatter(KeyValue())
     LOGGER.handlers, LOGGER.propagate = [handler], False
     LOGGER.setLevel(level)
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import resource
 import signal
 
 from ..routing.core import Core
@@ -34,7 +35,8 @@
         chance = Chance(c.seed)
         put = lambda message: self.core.put(message)  # noqa: E731
         self.link = ExecutorLink(scheduler, c.executor, chance, put, count)
-        self.ledger = Ledger(scheduler, c.ledger, min(CALLS, c.sockets // 4), put, count)
+        self.sockets = min(c.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self.ledger = Ledger(scheduler, c.ledger, min(CALLS, self.sockets // 4), put, count)
         self.gateways = Gateways(scheduler, put, c.names.workloads.__contains__, count, log)
         self.reporter = Reporter(scheduler, c.naming, c.name, chance, count)
         self.core = Core(scheduler, c.names, self.make_rules, self.link, self.ledger, self.gateways,
@@ -61,7 +63,7 @@
         c, scheduler = self.configuration, self.scheduler
         Signals(scheduler, {signal.SIGTERM: self.leave, signal.SIGINT: self.leave,
                             signal.SIGUSR1: lambda: self.counters.print(self.log, scheduler)})
-        room = c.sockets - min(CALLS, c.sockets // 4) - RESERVE
+        room = self.sockets - min(CALLS, self.sockets // 4) - RESERVE
         self.gateways.listener = Listener(scheduler, c.listen, room, self.gateways.accept)
         self.log("listening", {"address": f"{c.listen[0]}:{c.listen[1]}", "connections": room})
         scheduler.spawn(self.core.run, name="core", late=True)
@@ -77,6 +79,7 @@
     def close_unused(self):
         while True:
             self.gateways.close_idle()
+            self.gateways.bound_unsent()
             self.scheduler.sleep(0.05 if self.gateways.idle_after else 0.5)
 
     def print_counters(self):
--- a/valeturn/protocol/frames.py
+++ b/valeturn/protocol/frames.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 LEAST, MOST = 5, 262144  # what a frame's length may be
+KEPT = 16384  # bytes of a frame that are held, several submissions: hundreds of connections share the memory
 BODY, RESULT = 2048, 4096  # bytes of a submission's body, and of a result
 CALL, ANSWER, CANCEL, CHECK, CHECKED, NO_MORE = 7, 8, 9, 1, 2, 3
 DELIVERED, TURNED_BACK, WRITTEN_OFF = 1, 0, 9
@@ -60,17 +61,29 @@
 
     def __init__(self):
         self.held, self.broken = bytearray(), False
+        self.passing, self.passed_over = 0, None  # bytes of a large frame still to come; its message then
 
     def feed(self, data):
         out, at = [], 0
         if self.broken:
             return out
+        if self.passing:
+            data = self.pass_over(data, out)
         self.held += data
         while len(self.held) - at >= 4:
             length = int.from_bytes(self.held[at:at + 4], "little")
             if not LEAST <= length <= MOST:
                 out.append(Broken(f"frame length {length}"))
                 break
+            if length > KEPT and len(self.held) - at >= HEADER.size:
+                _, kind, stream = HEADER.unpack_from(self.held, at)
+                if kind != CALL or stream == 0:
+                    out.append(Broken(f"frame type {kind} of length {length}"))
+                    break
+                self.passing, self.passed_over = 4 + length, Unreadable(stream, "frame too long")
+                rest = self.pass_over(bytes(self.held[at:]), out)
+                at, self.held = 0, bytearray(rest)
+                continue
             if len(self.held) - at < 4 + length:
                 break
             _, kind, stream = HEADER.unpack_from(self.held, at)
@@ -82,6 +95,14 @@
         del self.held[:at]
         return out
 
+    def pass_over(self, data, out):
+        """Drops what belongs to the large frame; returns what comes after it."""
+        taken = min(self.passing, len(data))
+        self.passing -= taken
+        if not self.passing:
+            out.append(self.passed_over)
+        return data[taken:]
+
 
 def _frame(kind, stream, payload):
     if kind == CANCEL:
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -189,7 +189,7 @@
 
     def come_again(self, sub, connection, stream):
         """The same try on another connection, as after one that was closed under it: one submission with one
-        answer, which goes where it was asked for last. Where its caller seemed to be gone, it may have run."""
+        answer, which goes where it was asked for last. Where its caller seemed gone, it may have run."""
         self.count("in.again")
         if sub.answered:
             connection.answer(stream, frames.written_off(stream, load=self.load))
@@ -351,9 +351,9 @@
         """Kept until the executor is known to have it. A reply that may have come through before a link broke
         must not meet the run's next call: going on without this one names its notice and can't."""
         instead = lines.go_without(sub.call, sub.notice[0]) if sub.w.poorer_share > 0 else None
-        sub.reply, sub.notice = (self.mark, line, instead), None
+        sent = self.link.send(line)
+        sub.reply, sub.notice = (self.mark, line, instead if sent else None), None
         sub.attempt += 1
-        self.link.send(line)
 
     def on_not_carried_out(self, now, m):
         self.count("executor.bad." + m.command.lower())
--- a/valeturn/routing/gateways.py
+++ b/valeturn/routing/gateways.py
@@ -10,6 +10,8 @@
 
 OPEN = 32  # submissions on one connection, as the protocol has it
 CLOSING = 1.0  # s that a gateway has to close after it was asked to: some round trips
+UNSENT = 163840  # bytes of answers waiting for a reader: all 32 at their longest; past it, it is too slow
+UNSENT_ALL = 32 << 20  # bytes over all connections, a sixth of the process's memory; the slowest go first
 GAPS = 4096  # stream numbers remembered out of order; past it the lowest gap counts as used
 
 
@@ -130,6 +132,7 @@
         self.connections, self.listener, self.idle_after = {}, None, 0.0
 
     def accept(self, stream):
+        stream.most_unsent = UNSENT
         connection = Connection(self, stream)
         self.connections[connection] = None
         self.count("gateway.connections")
@@ -141,6 +144,15 @@
                 self.listener.released()
             self.scheduler.spawn(self.put, ConnectionEnded(connection), name="ended")
 
+    def bound_unsent(self):
+        waiting = sorted((len(c.stream.unsent), id(c), c) for c in self.connections if c.stream.unsent)
+        total = sum(size for size, _, _ in waiting)
+        while total > UNSENT_ALL:
+            size, _, connection = waiting.pop()
+            total -= size
+            self.count("gateway.too_slow")
+            connection.end()
+
     def close_idle(self):
         """Asks unused connections to close, and closes those that were asked long enough ago."""
         now = self.scheduler.clock()
