--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -259,5 +259,14 @@
     def __init__(self):
         self.answers = []
 
-    def answer(self, stream, data):
-        self.answers.append((stream, data[9], data[9 + 2:]))  # stream, code, what follows no fields
+    def deliver(self, stream, load, result):
+        self.answers.append((stream, frames.DELIVERED, result))
+
+    def turn_back(self, stream, load, retry_in=0.0, final=False):
+        self.answers.append((stream, frames.TURNED_BACK, b""))
+
+    def write_off(self, stream, load):
+        self.answers.append((stream, frames.WRITTEN_OFF, b""))
+
+    def tell_health(self, stream, load, good):
+        self.answers.append((stream, int(good), b""))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -160,11 +160,10 @@
     )
     assert toy.stdout.readline() == "ready\n"
     run = subprocess.Popen(
-        [sys.executable, "-m", "valeturn"],
+        [sys.executable, "-m", "valeturn", "serve", "--verbose", "--config", str(tmp_path / "config.json")],
         cwd=ROOT,
         stderr=subprocess.PIPE,
         text=True,
-        env={**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")},
     )
     lines = []
     while "event=welcome" not in "".join(lines):
@@ -221,6 +220,7 @@
             others.append(sock.recv(9) or pytest.fail("closed before the last word"))
     _, log = run.communicate(timeout=20)
     assert run.returncode == 0 and "event=ended" in log and "clean=True" in log
+    assert "event=answered" in log and "call=000000000000000a workload=file kind=delivered" in log
     assert "group=out" in log and "delivered=3" in log and "errors" not in log and "level=error" not in log
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(address, timeout=5)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -253,6 +253,18 @@
     assert caller.answers[-1][:2] == (4, DELIVERED)
 
 
+def test_a_module_that_fails_while_leaving_hears_of_the_stop_again(caller):
+    ends = Ends()
+    ends.turn(msg.Leaving(3.0))
+    assert ends.heard[-1] == it.Leave(3.0) and ends.told[-1] is False
+    healthy, ends.decide = ends.decide, lambda *_: 1 / 0
+    ends.now += 1.0
+    ends.turn(msg.Told(it.Woken(0, None)))
+    ends.decide = healthy
+    ends.turn()
+    assert ends.heard[-1] == it.Leave(2.0)
+
+
 def test_a_fault_with_one_message_does_not_stop_the_others(caller):
     ends = Ends()
     ends.core.names.tenants = None
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -14,7 +14,7 @@
 
 Options:
   --config FILE  The configuration; else the variable EDGE_CONFIG names it.
-  --verbose      Log more.
+  --verbose      Log each answer with its call, workload, kind and time.
   -h --help      Show this.
 
 EDGE_NAME and EDGE_LISTEN, where set, go before the configuration's name and listen.
@@ -23,7 +23,6 @@
 
 from __future__ import annotations
 
-import logging
 import sys
 
 from .. import __version__
@@ -35,9 +34,7 @@
 
     try:
         c = configuration.load(path=path)
-        log = logs.set_up(c.name, logging.DEBUG if verbose else logging.INFO)
-        server = Server(c, log)
-        return server.serve()
+        return Server(c, logs.set_up(c.name), verbose).serve()
     except configuration.Wrong as wrong:
         print(f"valeturn: {wrong}", file=sys.stderr)
     except OSError as error:  # the address to listen on is taken or not this machine's
--- a/valeturn/program/logs.py
+++ b/valeturn/program/logs.py
@@ -53,11 +53,11 @@
                 return
 
 
-def set_up(name, level=logging.INFO):
+def set_up(name):
     handler = NeverWaiting(sys.stderr.fileno())
     handler.setFormatter(KeyValue())
     LOGGER.handlers, LOGGER.propagate = [handler], False
-    LOGGER.setLevel(level)
+    LOGGER.setLevel(logging.INFO)
 
     def log(event, fields=None, fault=None):
         LOGGER.log(logging.INFO if fault is None else logging.ERROR, event,
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -27,7 +27,7 @@
 
 
 class Server:
-    def __init__(self, configuration, log):
+    def __init__(self, configuration, log, verbose=False):
         c = self.configuration = configuration
         self.log, self.counters = log, Counters()
         count = self.counters.add
@@ -41,6 +41,7 @@
         self.reporter = Reporter(scheduler, c.naming, c.name, chance, count)
         self.core = Core(scheduler, c.names, self.make_rules, self.link, self.ledger, self.gateways,
                          self.reporter, count, self.counters.times, log)
+        self.core.trace = log if verbose else None
         self.leave_at = self.stop_at = None
 
     def make_rules(self, cold, age):
--- a/valeturn/protocol/frames.py
+++ b/valeturn/protocol/frames.py
@@ -6,6 +6,8 @@
 import struct
 from typing import NamedTuple
 
+from .submitted import Submitted
+
 LEAST, MOST = 5, 262144  # what a frame's length may be
 KEPT = 16384  # bytes of a frame that are held, several submissions: hundreds of connections share the memory
 BODY, RESULT = 2048, 4096  # bytes of a submission's body, and of a result
@@ -17,23 +19,6 @@
 SIZE = struct.Struct("<H")
 
 
-class Submitted(NamedTuple):
-    stream: int
-    call: str
-    workload: str
-    tenant: str | None
-    reached: float  # Unix seconds
-    wait: float | None  # how long from then its caller waits
-    hint: float | None
-    memory: float
-    rank: float
-    caller: int
-    subject: str | None
-    mark: str | None
-    retry: bool
-    body: bytes
-
-
 class Unreadable(NamedTuple):
     """Framed well, but not a submission that can be read: it can be answered on its stream."""
 
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -11,7 +11,6 @@
 
 from .. import interface as it
 from ..protocol import executor as lines
-from ..protocol import frames
 from ..transport.scheduler import Mailbox
 from . import messages as msg
 from .executor import REPLAY_END
@@ -25,6 +24,9 @@
 
 ENDS = {lines.End.DONE: it.Outcome.DONE, lines.End.FAILED: it.Outcome.ERROR,
         lines.End.STOPPED: it.Outcome.CANCELLED, lines.End.NOTHING: it.Outcome.MOOT}
+# What a front's connection is asked for, by the name that an answer is counted under.
+ANSWERS = {"delivered": "deliver", "turned_back": "turn_back", "written_off": "write_off",
+           "unasked_end": "write_off"}
 # How far a run has come: not asked for; wanted while there is no link; sent, and not yet known to have
 # reached the executor; known to. DOUBTED: sent on a link that broke, and must not run twice.
 IDLE, WANTED, SENT, REACHED, DOUBTED = range(5)
@@ -34,11 +36,11 @@
     """A submission that is owed an answer, runs, or both."""
 
     __slots__ = ("answered", "attempt", "body", "call", "connection", "halted", "halting", "key",
-                 "notice", "number", "ran", "reply", "run", "sent_mark", "stream", "w", "workload")
+                 "notice", "number", "ran", "reply", "run", "sent_mark", "since", "stream", "w", "workload")
 
-    def __init__(self, number, connection, stream, call, workload, w, body, key):
+    def __init__(self, since, number, connection, stream, call, workload, w, body, key):
         self.number, self.connection, self.stream, self.call = number, connection, stream, call
-        self.workload, self.w, self.body, self.key = workload, w, body, key
+        self.workload, self.w, self.body, self.key, self.since = workload, w, body, key, since
         self.answered, self.run, self.ran, self.sent_mark = False, IDLE, False, 0
         self.halting, self.halted = False, None  # asked to stop; the gauges' mark when that was sent
         self.notice, self.reply, self.attempt = None, None, 0  # the call: wanted, replied, its count
@@ -57,7 +59,7 @@
         self.wakes, self.asked, self.asked_at, self.times = [], 0.0, 0.0, times
         self.gauges, self.gauged_at, self.mark, self.seen_mark = (), -1.0, 0, 0
         self.good, self.shallow, self.load, self.checks = False, True, None, {}
-        self.stop_at, self.events = None, []
+        self.stop_at, self.events, self.trace = None, [], None
 
     # ---- the loop
 
@@ -100,7 +102,7 @@
             self.count("errors.core")
             self.log("core_fault", {"item": type(item).__name__}, fault=error)
             if isinstance(item, msg.Arrival):
-                item.connection.answer(item.submission.stream, frames.turned_back(item.submission.stream))
+                item.connection.turn_back(item.submission.stream, self.load)
 
     def meet_wakes(self, now):
         if self.wakes and self.asked < self.wakes[0][0] <= now + GAUGES_AHEAD:
@@ -128,9 +130,9 @@
         self.count("core.module_failed")
         for sub in list(self.open.values()):
             if not sub.ran and sub.w.effect is not it.Effect.DEDUPLICATED:
-                self.answer(sub, frames.turned_back(sub.stream, load=self.load), "turned_back")
+                self.answer(sub, "turned_back")
             else:
-                self.answer(sub, frames.written_off(sub.stream, load=self.load), "written_off")
+                self.answer(sub, "written_off")
             self.ledger.give_up(sub.number)
             if sub.run != IDLE and self.settings.halting is not it.Halting.OFF:
                 self.link.send(lines.halt(sub.call))
@@ -165,7 +167,7 @@
         s, connection = m.submission, m.connection
         if self.rules is None or len(self.open) >= MOST_OPEN:
             self.count("in.too_early" if self.rules is None else "in.over_all")
-            connection.answer(s.stream, frames.turned_back(s.stream))
+            connection.turn_back(s.stream, self.load)
             return
         if s.call in self.by_call:
             self.come_again(self.by_call[s.call], connection, s.stream)
@@ -175,7 +177,7 @@
         w = self.settings.workloads[workload]
         waited = max(0.0, time.time() - s.reached)
         key = self.key_of(s, workload, w)
-        sub = Open(number, connection, s.stream, s.call, s.workload, w, s.body, key)
+        sub = Open(now, number, connection, s.stream, s.call, s.workload, w, s.body, key)
         repeats = None
         if key is not None:
             repeats = self.repeats.repeated(key, now - waited) or self.batch.get(key)
@@ -192,7 +194,7 @@
         answer, which goes where it was asked for last. Where its caller seemed gone, it may have run."""
         self.count("in.again")
         if sub.answered:
-            connection.answer(stream, frames.written_off(stream, load=self.load))
+            connection.write_off(stream, self.load)
         else:
             self.by_stream.pop((sub.connection, sub.stream), None)
             sub.connection, sub.stream = connection, stream
@@ -244,7 +246,7 @@
 
     def answer_check(self, connection, stream, good):
         self.count("out.checks_good" if good else "out.checks_bad")
-        connection.answer(stream, frames.health(stream, good, self.load))
+        connection.tell_health(stream, self.load, good)
 
     def on_gauged(self, now, m):
         if m.mark == REPLAY_END:
@@ -292,7 +294,7 @@
         if outcome is it.Outcome.CANCELLED and not sub.halting and not sub.answered:
             # Ended unasked: its caller has gone, though nobody said so. One answer does no harm.
             self.events.append(it.Gone(sub.number))
-            self.answer(sub, frames.written_off(sub.stream, load=self.load), "unasked_end")
+            self.answer(sub, "unasked_end")
         self.run_over(now, sub, outcome, m.took, m.result)
 
     def run_over(self, now, sub, outcome, took, result):
@@ -301,9 +303,9 @@
         sub.run, sub.notice, sub.reply, sub.halting, sub.halted = IDLE, None, None, False, None
         self.events.append(it.Ended(sub.number, outcome, took))
         if outcome is it.Outcome.DONE:
-            self.answer(sub, frames.delivered(sub.stream, result, self.load), "delivered")
+            self.answer(sub, "delivered", result)
         elif outcome is not it.Outcome.CANCELLED:
-            self.answer(sub, frames.written_off(sub.stream, load=self.load), "written_off")
+            self.answer(sub, "written_off")
         if outcome is not it.Outcome.CANCELLED or sub.answered:
             self.end_joiners(now, sub, result if outcome is it.Outcome.DONE else None)
             self.drop(sub)
@@ -317,9 +319,9 @@
         if sub is None or sub.answered:
             return
         if result is None:
-            self.answer(sub, frames.written_off(sub.stream, load=self.load), "written_off")
+            self.answer(sub, "written_off")
         else:
-            self.answer(sub, frames.delivered(sub.stream, result, self.load), "delivered")
+            self.answer(sub, "delivered", result)
         self.drop(sub)
         outcome = it.Outcome.ERROR if result is None else it.Outcome.DONE
         self.put_later(msg.Told(it.Ended(sub.number, outcome, 0.0)))
@@ -381,11 +383,14 @@
 
     # ---- answers
 
-    def answer(self, sub, data, kind):
+    def answer(self, sub, kind, *what):
         """The one final answer, unless its caller has one or has gone."""
         if not sub.answered:
             self.count("out." + kind)
-            sub.connection.answer(sub.stream, data)
+            getattr(sub.connection, ANSWERS[kind])(sub.stream, self.load, *what)
+            if self.trace is not None:
+                self.trace("answered", {"call": sub.call, "workload": sub.workload, "kind": kind,
+                                        "after": self.scheduler.clock() - sub.since})
             self.forget_caller(sub)
 
     def forget_caller(self, sub):
@@ -430,13 +435,13 @@
     def do_turn_back(self, now, a):
         sub = self.open.get(a.id)
         if sub is not None:
-            self.answer(sub, frames.turned_back(sub.stream, a.retry_in, a.final, self.load), "turned_back")
+            self.answer(sub, "turned_back", a.retry_in, a.final)
             self.over_unless_running(now, sub)
 
     def do_write_off(self, now, a):
         sub = self.open.get(a.id)
         if sub is not None:
-            self.answer(sub, frames.written_off(sub.stream, load=self.load), "written_off")
+            self.answer(sub, "written_off")
             if sub.notice is not None:
                 self.ledger.give_up(sub.number)
             self.over_unless_running(now, sub)
--- a/valeturn/routing/gateways.py
+++ b/valeturn/routing/gateways.py
@@ -83,7 +83,7 @@
     def refuse(self, stream, why):
         """It never ran, and its answer says so."""
         self.gateways.count("in.unreadable." + why)
-        self.answer(stream, frames.turned_back(stream))
+        self.turn_back(stream, None)
 
     def refuse_connection(self, reason):
         self.gateways.count("gateway.broken")
@@ -91,6 +91,20 @@
         self.stream.write(frames.connection_error())
         self.close_when_answered()
 
+    # What the owner of the module asks of a front's connection.
+
+    def deliver(self, stream, load, result):
+        self.answer(stream, frames.delivered(stream, result, load))
+
+    def turn_back(self, stream, load, retry_in=0.0, final=False):
+        self.answer(stream, frames.turned_back(stream, retry_in, final, load))
+
+    def write_off(self, stream, load):
+        self.answer(stream, frames.written_off(stream, load))
+
+    def tell_health(self, stream, load, good):
+        self.answer(stream, frames.health(stream, good, load))
+
     def answer(self, stream, data):
         self.open.discard(stream)
         if not self.open:
--- a/valeturn/routing/messages.py
+++ b/valeturn/routing/messages.py
@@ -5,11 +5,12 @@
 from typing import NamedTuple
 
 from ..interface import Outcome
+from ..protocol.submitted import Submitted
 
 
 class Arrival(NamedTuple):
     connection: object
-    submission: object  # protocol.frames.Submitted
+    submission: Submitted
     read_at: float  # Unix seconds
 
 
