A notice to leave that comes before the module starts is told as of when it came

The notice is kept and told with its own time, also to a module that is made anew after a fault. A module that cannot start leaves health not good and turns all back. What a closed connection still had in hand is not passed on (routing/gateways.py).

--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -59,7 +59,7 @@
         self.wakes, self.asked, self.asked_at, self.times = [], 0.0, 0.0, times
         self.gauges, self.gauged_at, self.mark, self.seen_mark = (), -1.0, 0, 0
         self.good, self.shallow, self.load, self.checks = False, True, None, {}
-        self.stop_at, self.events, self.trace = None, [], None
+        self.leave, self.events, self.trace = None, [], None
 
     # ---- the loop
 
@@ -137,9 +137,20 @@
             if sub.run != IDLE and self.settings.halting is not it.Halting.OFF:
                 self.link.send(lines.halt(sub.call))
             self.drop(sub)
-        self.rules, self.wakes = self.make_rules(False, 0.0), [(now, 0)]
-        if self.stop_at is not None:
-            self.put_later(msg.Leaving(self.stop_at - now))
+        self.rules, self.good = None, False
+        try:
+            self.start_module(now, False, 0.0)
+        except Exception as again:  # without a module all is turned back and health is not good
+            self.log("module_failed", fault=again)
+
+    def start_module(self, now, cold, age):
+        """A notice to leave that came before is told as of then: the grace counts from the notice."""
+        when, notice = self.leave if self.leave is not None else (now, None)
+        rules, self.wakes = self.make_rules(cold, age), []
+        actions = rules.decide(when, [] if notice is None else [notice])
+        self.rules = rules
+        for action in actions:
+            self.carry(self.DOES, now, action)
 
     # ---- what comes in
 
@@ -147,10 +158,7 @@
         self.count("executor.joined")
         if self.rules is None:
             self.log("welcome", {"cold": m.cold, "age": m.age, "told_cold": self.settings.cold})
-            self.rules = self.make_rules(m.cold, m.age)
-            self.wakes = [(now, 0)]
-            self.good = True
-            self.reporter.tell(True)
+            self.start_module(now, m.cold, m.age)
 
     def on_link_down(self, now, m):
         for sub in self.open.values():
@@ -368,9 +376,9 @@
         self.events.append(m.event)
 
     def on_leaving(self, now, m):
-        self.stop_at = now + m.left
+        self.leave = now, it.Leave(m.left)
         self.reporter.tell(False)
-        self.events.append(it.Leave(m.left))
+        self.events.append(self.leave[1])
 
     TAKES = {
         msg.LinkUp: on_link_up, msg.LinkDown: on_link_down, msg.NoticesMissed: on_notices_missed,
--- a/valeturn/routing/gateways.py
+++ b/valeturn/routing/gateways.py
@@ -32,7 +32,7 @@
                     self.gateways.count("gateway.ended." + got.name.lower())
                     break
                 for message in decoder.feed(got):
-                    if not self.closing:
+                    if not self.closing and not self.ended:
                         self.take(message, put)
         finally:
             if not self.closing:
