One HTTP exchange for ledger and name service; code that nothing used is out

Read again: the ledger's pool and the name-service reports each had the loop that reads one answer, now routing/exchange.py. A stream works on any socket, so the signals no longer build one by hand, nor does a test. Which submission a repeat answers from is kept on it, not looked for among the turn's events. What is wrong with a configuration is told in one place. Behaviour, bounds and tests' assertions are as they were.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -252,7 +252,7 @@
         self.numbers += 1
         changes = {"call": f"{self.numbers:016x}", "stream": self.numbers, "reached": time.time(), **changes}
         base = frames.Submitted(1, "", workload, "a", 0.0, 2.0, 0.1, 8.0, 0.5, 1, None, None, False, b"body")
-        came = Arrival(connection, base._replace(**changes), 0.0)
+        came = Arrival(connection, base._replace(**changes))
         self.turn(came, do=[action(self.core.numbers + 1) for action in do])
         return self.core.numbers, came.submission.call
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -178,13 +178,7 @@
     near, far = socket.socketpair(socket.AF_UNIX)
     near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
 
-    class Plain(Stream):
-        def __init__(self, sock, most):
-            self.scheduler, self.sock, self.most_unsent = scheduler, sock, most
-            self.unsent, self.writer, self.trouble = bytearray(), None, None
-            sock.setblocking(False)
-
-    one, other, got = Plain(near, 1 << 20), Plain(far, 1), bytearray()
+    one, other, got = Stream(scheduler, near, 1 << 20), Stream(scheduler, far, 1), bytearray()
 
     def test():
         assert one.write(b"a" * 300000) and one.write(b"b" * 10) and one.unsent
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -32,28 +32,30 @@
 def serve(path=None, verbose=False):
     from .server import Server
 
+    c = configuration.load(path=path)
     try:
-        c = configuration.load(path=path)
         return Server(c, logs.set_up(c.name), verbose).serve()
-    except configuration.Wrong as wrong:
-        print(f"valeturn: {wrong}", file=sys.stderr)
     except OSError as error:  # the address to listen on is taken or not this machine's
         print(f"valeturn: listen: {error}", file=sys.stderr)
     return 2
 
 
 def check(path=None):
-    try:
-        c = configuration.load(path=path)
-    except configuration.Wrong as wrong:
-        print(f"valeturn: {wrong}", file=sys.stderr)
-        return 2
+    c = configuration.load(path=path)
     s = c.names.settings
     print(f"good: name={c.name} workloads={len(s.workloads)} tenants={len(s.tenants)} cores={s.cores}")
     return 0
 
 
 def main(words):
+    try:
+        return carry_out(words)
+    except configuration.Wrong as wrong:
+        print(f"valeturn: {wrong}", file=sys.stderr)
+        return 2
+
+
+def carry_out(words):
     if not words:  # the way a platform starts it: nothing is loaded that serving does not need
         return serve()
     from docopt import DocoptExit, docopt
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -35,8 +35,9 @@
         chance = Chance(c.seed)
         put = lambda message: self.core.put(message)  # noqa: E731
         self.link = ExecutorLink(scheduler, c.executor, chance, put, count)
-        self.sockets = min(c.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        self.ledger = Ledger(scheduler, c.ledger, min(CALLS, self.sockets // 4), put, count)
+        sockets = min(c.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self.ledger = Ledger(scheduler, c.ledger, min(CALLS, sockets // 4), put, count)
+        self.room = sockets - self.ledger.most - RESERVE  # for gateways
         self.gateways = Gateways(scheduler, put, c.names.workloads.__contains__, count, log)
         self.reporter = Reporter(scheduler, c.naming, c.name, chance, count)
         self.core = Core(scheduler, c.names, self.make_rules, self.link, self.ledger, self.gateways,
@@ -64,9 +65,8 @@
         c, scheduler = self.configuration, self.scheduler
         Signals(scheduler, {signal.SIGTERM: self.leave, signal.SIGINT: self.leave,
                             signal.SIGUSR1: lambda: self.counters.print(self.log, scheduler)})
-        room = self.sockets - min(CALLS, self.sockets // 4) - RESERVE
-        self.gateways.listener = Listener(scheduler, c.listen, room, self.gateways.accept)
-        self.log("listening", {"address": f"{c.listen[0]}:{c.listen[1]}", "connections": room})
+        self.gateways.listener = Listener(scheduler, c.listen, self.room, self.gateways.accept)
+        self.log("listening", {"address": f"{c.listen[0]}:{c.listen[1]}", "connections": self.room})
         scheduler.spawn(self.core.run, name="core", late=True)
         scheduler.spawn(self.close_unused, name="unused")
         scheduler.spawn(self.print_counters, name="counters")
--- a/valeturn/protocol/frames.py
+++ b/valeturn/protocol/frames.py
@@ -10,7 +10,7 @@
 
 LEAST, MOST = 5, 262144  # what a frame's length may be
 KEPT = 16384  # bytes of a frame that are held, several submissions: hundreds of connections share the memory
-BODY, RESULT = 2048, 4096  # bytes of a submission's body, and of a result
+BODY = 2048  # bytes of a submission's body
 CALL, ANSWER, CANCEL, CHECK, CHECKED, NO_MORE = 7, 8, 9, 1, 2, 3
 DELIVERED, TURNED_BACK, WRITTEN_OFF = 1, 0, 9
 GOOD, NOT_GOOD = 1, 0
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -36,7 +36,8 @@
     """A submission that is owed an answer, runs, or both."""
 
     __slots__ = ("answered", "attempt", "body", "call", "connection", "halted", "halting", "key",
-                 "notice", "number", "ran", "reply", "run", "sent_mark", "since", "stream", "w", "workload")
+                 "notice", "number", "ran", "repeats", "reply", "run", "sent_mark", "since", "stream", "w",
+                 "workload")
 
     def __init__(self, since, number, connection, stream, call, workload, w, body, key):
         self.number, self.connection, self.stream, self.call = number, connection, stream, call
@@ -44,6 +45,7 @@
         self.answered, self.run, self.ran, self.sent_mark = False, IDLE, False, 0
         self.halting, self.halted = False, None  # asked to stop; the gauges' mark when that was sent
         self.notice, self.reply, self.attempt = None, None, 0  # the call: wanted, replied, its count
+        self.repeats = None
 
 
 class Core:
@@ -190,6 +192,7 @@
         if key is not None:
             repeats = self.repeats.repeated(key, now - waited) or self.batch.get(key)
             self.batch.setdefault(key, number)
+        sub.repeats = repeats
         self.open[number] = self.by_call[s.call] = self.by_stream[connection, s.stream] = sub
         left = None if s.wait is None or not self.names.passes_wait else max(0.0, s.wait - waited)
         self.events.append(it.Arrived(
@@ -258,7 +261,7 @@
 
     def on_gauged(self, now, m):
         if m.mark == REPLAY_END:
-            self.resume_runs(now)
+            self.resume_runs()
             return
         self.gauges, self.gauged_at = m.values, now
         self.times.add("gauge", now - self.asked_at)
@@ -273,7 +276,7 @@
             if sub.run == DOUBTED and sub.answered and self.surely_not_running(sub):
                 doubted.append(sub)
         for sub in doubted:
-            self.run_over(now, sub, it.Outcome.CANCELLED, 0.0, None)
+            self.run_over(sub, it.Outcome.CANCELLED, 0.0, None)
 
     def surely_not_running(self, sub):
         """The executor was told to stop it and has told of no end since, so there was no run. Where work
@@ -282,7 +285,7 @@
             return True
         return sub.halted is not None and sub.halted < self.seen_mark
 
-    def resume_runs(self, now):
+    def resume_runs(self):
         """After a join, when all missed notices were read: sends again what may be sent again."""
         for sub in list(self.open.values()):
             if sub.run == WANTED or sub.run == DOUBTED and sub.w.effect is it.Effect.IDEMPOTENT:
@@ -303,9 +306,9 @@
             # Ended unasked: its caller has gone, though nobody said so. One answer does no harm.
             self.events.append(it.Gone(sub.number))
             self.answer(sub, "unasked_end")
-        self.run_over(now, sub, outcome, m.took, m.result)
+        self.run_over(sub, outcome, m.took, m.result)
 
-    def run_over(self, now, sub, outcome, took, result):
+    def run_over(self, sub, outcome, took, result):
         self.count("run." + outcome.name.lower())
         self.ledger.give_up(sub.number)
         sub.run, sub.notice, sub.reply, sub.halting, sub.halted = IDLE, None, None, False, None
@@ -315,10 +318,10 @@
         elif outcome is not it.Outcome.CANCELLED:
             self.answer(sub, "written_off")
         if outcome is not it.Outcome.CANCELLED or sub.answered:
-            self.end_joiners(now, sub, result if outcome is it.Outcome.DONE else None)
+            self.end_joiners(sub, result if outcome is it.Outcome.DONE else None)
             self.drop(sub)
 
-    def end_joiners(self, now, sub, result):
+    def end_joiners(self, sub, result):
         self.repeats.ended(sub.number, result)
         for number in self.joiners.pop(sub.number, ()):
             self.end_joined(self.open.get(number), result)
@@ -370,7 +373,7 @@
         self.log("not_carried_out", {"command": m.command, "call": m.call})
         sub = self.by_call.get(m.call)
         if sub is not None and m.command == "EXEC" and sub.run != IDLE:
-            self.run_over(now, sub, it.Outcome.MOOT, 0.0, None)
+            self.run_over(sub, it.Outcome.MOOT, 0.0, None)
 
     def on_told(self, now, m):
         self.events.append(m.event)
@@ -444,7 +447,7 @@
         sub = self.open.get(a.id)
         if sub is not None:
             self.answer(sub, "turned_back", a.retry_in, a.final)
-            self.over_unless_running(now, sub)
+            self.over_unless_running(sub)
 
     def do_write_off(self, now, a):
         sub = self.open.get(a.id)
@@ -452,11 +455,11 @@
             self.answer(sub, "written_off")
             if sub.notice is not None:
                 self.ledger.give_up(sub.number)
-            self.over_unless_running(now, sub)
+            self.over_unless_running(sub)
 
-    def over_unless_running(self, now, sub):
+    def over_unless_running(self, sub):
         if sub.run == IDLE:
-            self.end_joiners(now, sub, None)
+            self.end_joiners(sub, None)
             self.drop(sub)
 
     def do_call(self, now, a):
@@ -485,10 +488,9 @@
         sub = self.open.get(a.id)
         if sub is None:
             return
-        first = next((e.repeats for e in self.events if isinstance(e, it.Arrived) and e.id == a.id), None)
-        entry = self.repeats.by_number.get(first)
-        if first in self.open:
-            self.joiners.setdefault(first, []).append(a.id)
+        entry = self.repeats.by_number.get(sub.repeats)
+        if sub.repeats in self.open:
+            self.joiners.setdefault(sub.repeats, []).append(a.id)
         else:
             self.end_joined(sub, entry.result if entry is not None else None)
 
--- /dev/null
+++ b/valeturn/routing/exchange.py
@@ -0,0 +1,38 @@
+"""One HTTP exchange on a stream. How far it came is part of what is returned."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+from ..protocol import http
+from ..transport.streams import Trouble
+
+
+class Stage(Enum):
+    """How far an attempt came. Only UNSENT proves by itself that the call never ran."""
+
+    UNSENT = "nothing of it was sent"
+    SENT = "sent, nothing of an answer seen"
+    PARTLY_ANSWERED = "an answer began"
+
+
+class Failure(NamedTuple):
+    stage: Stage
+    trouble: Trouble
+
+
+def exchange(scheduler, stream, request, until):
+    """An Answer, a Malformed, or the Failure that came first. The stream is left as it is."""
+    stage, answer, decoder = Stage.SENT, None, http.AnswerDecoder()
+    if not stream.write(request):
+        return Failure(stage, stream.trouble)
+    while answer is None:
+        got = stream.read(max(0.0, until - scheduler.clock()))
+        if isinstance(got, bytes):
+            stage, answer = Stage.PARTLY_ANSWERED, decoder.feed(got)
+        elif got is Trouble.CLOSED and stage is Stage.PARTLY_ANSWERED:
+            answer = decoder.end()
+        else:
+            return Failure(stage, got)
+    return answer
--- a/valeturn/routing/gateways.py
+++ b/valeturn/routing/gateways.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 from ..protocol import frames
 from ..transport.streams import Trouble
 from .messages import Arrival, Check, ConnectionEnded, Withdrawal
@@ -50,7 +48,7 @@
                 self.refuse(message.stream, "workload")
             else:
                 self.open.add(message.stream)
-                put(Arrival(self, message, time.time()))
+                put(Arrival(self, message))
         elif isinstance(message, frames.Unreadable):
             count("in.submissions")
             if self.is_new(message.stream):
--- a/valeturn/routing/ledger.py
+++ b/valeturn/routing/ledger.py
@@ -2,31 +2,16 @@
 
 from __future__ import annotations
 
-from enum import Enum
-from typing import NamedTuple
-
 from ..interface import Outcome
 from ..protocol import http
 from ..transport.streams import Trouble, connect
+from .exchange import Failure, Stage, exchange
 from .messages import CallOver
 
 KEPT = 16  # unused connections kept: more calls at once than one server's share has been seen to allow
 IDLE = 5.0  # s unused until one is dropped: half of the ledger's own idle close, so that none breaks in use
 
 
-class Stage(Enum):
-    """How far an attempt came. Only UNSENT proves by itself that the call never ran."""
-
-    UNSENT = "nothing of it was sent"
-    SENT = "sent, nothing of an answer seen"
-    PARTLY_ANSWERED = "an answer began"
-
-
-class Failure(NamedTuple):
-    stage: Stage
-    trouble: Trouble
-
-
 def outcome_of(end):
     """What an attempt proves: an answer's status, or how far it came and what stopped it."""
     if isinstance(end, Failure):
@@ -86,22 +71,14 @@
                 return Failure(Stage.UNSENT, stream)
             self.count("ledger.connections")
         entry[1] = stream
-        stage, answer, decoder = Stage.SENT, None, http.AnswerDecoder()
-        if not stream.write(data):
-            return Failure(stage, stream.trouble)
-        while answer is None:
-            got = stream.read(max(0.0, until - self.scheduler.clock()))
-            if isinstance(got, bytes):
-                stage, answer = Stage.PARTLY_ANSWERED, decoder.feed(got)
-            elif got is Trouble.CLOSED and stage is Stage.PARTLY_ANSWERED:
-                answer = decoder.end()
-            else:
-                stream.close()
-                return Failure(stage, got)
+        answer = exchange(self.scheduler, stream, data, until)
+        if isinstance(answer, Failure):
+            stream.close()
+            return answer
         if isinstance(answer, http.Malformed):
             self.count("ledger.malformed")
             stream.close()
-            return Failure(stage, Trouble.RESET)
+            return Failure(Stage.PARTLY_ANSWERED, Trouble.RESET)
         if answer.keep and len(self.kept) < KEPT:
             self.kept.append((stream, self.scheduler.clock()))
         else:
--- a/valeturn/routing/messages.py
+++ b/valeturn/routing/messages.py
@@ -11,7 +11,6 @@
 class Arrival(NamedTuple):
     connection: object
     submission: Submitted
-    read_at: float  # Unix seconds
 
 
 class Withdrawal(NamedTuple):
--- a/valeturn/routing/naming.py
+++ b/valeturn/routing/naming.py
@@ -5,6 +5,7 @@
 from ..protocol import http
 from ..transport.chance import Backoff
 from ..transport.streams import Trouble, connect
+from .exchange import exchange
 
 EVERY = 0.7  # s between reports: four fit into the 3 s after which a silent server leaves the list
 PATIENCE = 0.6  # s for one: a hung report leaves time for the next within the 3 s
@@ -48,11 +49,8 @@
             self.stream = made
         body = b'{"serving":"%s"}' % (b"yes" if self.serving else b"no")
         head = [("Content-Type", "application/json")]
-        self.stream.write(http.request("PUT", f"/ns/hosts/{self.name}", self.host, head, body))
-        answer, decoder = None, http.AnswerDecoder()
-        while answer is None:
-            got = self.stream.read(max(0.0, until - self.scheduler.clock()))
-            answer = decoder.feed(got) if isinstance(got, bytes) else decoder.end()
+        request = http.request("PUT", f"/ns/hosts/{self.name}", self.host, head, body)
+        answer = exchange(self.scheduler, self.stream, request, until)
         if not isinstance(answer, http.Answer) or not answer.keep:
             self.stream.close()
             self.stream = None
--- a/valeturn/routing/repeats.py
+++ b/valeturn/routing/repeats.py
@@ -8,10 +8,10 @@
 
 
 class Entry:
-    __slots__ = ("done", "key", "number", "result", "until")
+    __slots__ = ("key", "number", "result", "until")
 
     def __init__(self, number, key, until):
-        self.number, self.key, self.until, self.result, self.done = number, key, until, None, False
+        self.number, self.key, self.until, self.result = number, key, until, None
 
 
 class Repeats:
@@ -41,10 +41,8 @@
     def ended(self, number, result):
         """result is None where the run failed, or never was."""
         entry = self.by_number.get(number)
-        if entry is not None:
-            entry.done = True
-            if result is not None and self.size + len(result) <= self.most:
-                entry.result, self.size = result, self.size + len(result)
+        if entry is not None and result is not None and self.size + len(result) <= self.most:
+            entry.result, self.size = result, self.size + len(result)
 
     def remove(self, number):
         entry = self.by_number.pop(number, None)
--- a/valeturn/transport/signals.py
+++ b/valeturn/transport/signals.py
@@ -13,10 +13,8 @@
         """actions: signal number -> function, called in a task."""
         self.actions = actions
         end, self.other = socket.socketpair()
-        end.setblocking(False)
         self.other.setblocking(False)
-        self.scheduler, self.stream = scheduler, Stream.__new__(Stream)
-        self.stream.scheduler, self.stream.sock, self.stream.trouble = scheduler, end, None
+        self.stream = Stream(scheduler, end)
         signal.set_wakeup_fd(self.other.fileno(), warn_on_full_buffer=False)
         for number in actions:
             signal.signal(number, lambda *_: None)
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -1,4 +1,4 @@
-"""Byte streams on non-blocking TCP sockets. What goes wrong is returned as a value, never raised."""
+"""Byte streams on non-blocking sockets. What goes wrong is returned as a value, never raised."""
 
 from __future__ import annotations
 
@@ -24,9 +24,10 @@
 class Stream:
     def __init__(self, scheduler, sock, most_unsent=262144):
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.family == socket.AF_INET:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.scheduler, self.sock, self.most_unsent = scheduler, sock, most_unsent
-        self.unsent, self.writer, self.reader, self.trouble = bytearray(), None, None, None
+        self.unsent, self.writer, self.trouble = bytearray(), None, None
 
     def read(self, timeout=None):
         """Bytes as soon as there are some, or a Trouble."""
