--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -237,3 +237,42 @@
             lines.append(run.stderr.readline())
         assert any("group=in" in line and "submissions=1" in line for line in lines)
         assert "cpu_ms_per_submission=" in lines[-1] and "lag_most_ms=" in lines[-1]
+
+
+def test_a_reload_moves_to_new_addresses_and_a_bad_file_changes_nothing(server, tmp_path):
+    run, address, toy = server
+    raw = json.loads((tmp_path / "config.json").read_text())
+
+    def reload(text, event):
+        (tmp_path / "config.json").write_text(text)
+        run.send_signal(signal.SIGHUP)
+        lines = [run.stderr.readline()]
+        while f"event={event}" not in lines[-1]:
+            lines.append(run.stderr.readline())
+            assert lines[-1], lines
+        return lines[-1]
+
+    with socket.create_connection(address, timeout=20) as sock:
+        assert "EDGE_CONFIG" in reload("{", "reload_refused")
+        sock.sendall(frame(1, 4, b"\0"))
+        assert sock.recv(64) == frame(2, 4, b"\x01\x00"), "served on as before"
+        own = raw["listen"].rpartition(":")[0]
+        for number, field in enumerate(("executor", "ledger", "naming")):
+            raw[field] = f"{own}:{4190 + number}"
+        other = subprocess.Popen(
+            [sys.executable, "examples/toy.py", raw["executor"], raw["ledger"], raw["naming"]],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        try:
+            assert other.stdout.readline() == "ready\n"
+            raw["limits"] = {**raw["limits"], "sockets": 600}
+            told = reload(json.dumps(raw), "reloaded")
+            assert "moved=executor,naming,ledger wants_restart=sockets" in told
+            toy.kill()
+            sock.sendall(submit(2, "quote"))
+            assert answers(sock, 1)[0] == {2: (1, b"parcel 2 [about parcel 2]")}
+        finally:
+            other.kill()
+            other.wait()
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -9,6 +9,7 @@
 
 Commands:
   serve      Serve until SIGTERM, which drains. The same as no command. SIGUSR1 prints the counters.
+             SIGHUP takes new addresses of executor, ledger and name service from the file.
   check      Read and check a configuration, and say in one line what is wrong with it.
   version    Print the version.
 
@@ -23,18 +24,28 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 from .. import __version__
+from ..transport import signals
 from . import configuration, logs
 
 
 def serve(path=None, verbose=False):
     from .server import Server
 
+    signals.hold(signal.SIGHUP)  # one that comes before the server listens for it must not end the process
     c = configuration.load(path=path)
+
+    def reload():
+        try:
+            return configuration.load(path=path)
+        except configuration.Wrong as wrong:
+            return str(wrong)
+
     try:
-        return Server(c, logs.set_up(c.name), verbose).serve()
+        return Server(c, logs.set_up(c.name), verbose, reload).serve()
     except OSError as error:  # the address to listen on is taken or not this machine's
         print(f"valeturn: listen: {error}", file=sys.stderr)
     return 2
--- a/valeturn/program/configuration.py
+++ b/valeturn/program/configuration.py
@@ -27,6 +27,9 @@
     names: Names
 
 
+MOVABLE = ("executor", "ledger", "naming")  # what a reload takes over
+
+
 def _address(raw, field):
     text = raw.get(field)
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
@@ -72,7 +75,7 @@
         name, _address(raw, "listen"), _address(raw, "executor"), _address(raw, "naming"),
         _address(raw, "ledger"), seed, _number(raw, "stop_ms", 1, 3.6e6, 3000) / 1000.0,
         int(_number(limits, "sockets", 64, 1e6, 1024, "limits.")),
-        _number(limits, "memory_mb", 48, 1e6, 192, "limits."), names)
+        _number(limits, "memory_mb", 24, 1e6, 192, "limits."), names)
 
 
 def _check(s):
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -17,18 +17,21 @@
 from ..transport.listener import Listener
 from ..transport.scheduler import Scheduler
 from ..transport.signals import Signals
+from .bounds import derive
+from .configuration import MOVABLE, Configuration
 from .counters import Counters
 
-CALLS = 128  # at once to the ledger: far over a server's share, which the module keeps
-RESERVE = 48  # descriptors for the executor, the name service, signals, the log and what Python opens
 PRINT = 10.0  # s between prints of the counters: a server that is killed outright leaves its last ones
 MARGIN = 0.15  # s before the stop at which the process ends itself: the last answers are out by then
+LOOK = 0.05  # s between looks at all connections: half of the shortest patience with one
 STEP = 0.02  # s between looks while draining
 
 
 class Server:
-    def __init__(self, configuration, log, verbose=False):
+    def __init__(self, configuration, log, verbose=False, reload=None):
+        """`reload` reads the configuration anew: a Configuration, or what is wrong with it as text."""
         c = self.configuration = configuration
+        self.read_again = reload
         self.log, self.counters = log, Counters()
         count = self.counters.add
         self.scheduler = scheduler = Scheduler(on_failure=self.task_failed)
@@ -36,12 +39,12 @@
         put = lambda message: self.core.put(message)  # noqa: E731
         self.link = ExecutorLink(scheduler, c.executor, chance, put, count)
         sockets = min(c.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        self.ledger = Ledger(scheduler, c.ledger, min(CALLS, sockets // 4), put, count)
-        self.room = sockets - self.ledger.most - RESERVE  # for gateways
-        self.gateways = Gateways(scheduler, put, c.names.workloads.__contains__, count, log)
+        bounds = self.bounds = derive(sockets, c.memory_mb)
+        self.ledger = Ledger(scheduler, c.ledger, bounds.calls, put, count)
+        self.gateways = Gateways(scheduler, put, c.names, bounds, count)
         self.reporter = Reporter(scheduler, c.naming, c.name, chance, count)
-        self.core = Core(scheduler, c.names, self.make_rules, self.link, self.ledger, self.gateways,
-                         self.reporter, count, self.counters.times, log)
+        self.core = Core(scheduler, c.names, bounds, self.make_rules, self.link, self.ledger,
+                         self.gateways, self.reporter, count, self.counters.times, log)
         self.core.trace = log if verbose else None
         self.leave_at = self.stop_at = None
 
@@ -63,12 +66,13 @@
 
     def serve(self):
         c, scheduler = self.configuration, self.scheduler
-        Signals(scheduler, {signal.SIGTERM: self.leave, signal.SIGINT: self.leave,
+        Signals(scheduler, {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGHUP: self.reload,
                             signal.SIGUSR1: lambda: self.counters.print(self.log, scheduler)})
-        self.gateways.listener = Listener(scheduler, c.listen, self.room, self.gateways.accept)
-        self.log("listening", {"address": f"{c.listen[0]}:{c.listen[1]}", "connections": self.room})
+        self.gateways.listener = Listener(scheduler, c.listen, self.bounds.connections, self.gateways.accept,
+                                          self.gateways.make_room)
+        self.log("listening", {"address": f"{c.listen[0]}:{c.listen[1]}", **self.bounds._asdict()})
         scheduler.spawn(self.core.run, name="core", late=True)
-        scheduler.spawn(self.close_unused, name="unused")
+        scheduler.spawn(self.sweep, name="sweep")
         scheduler.spawn(self.print_counters, name="counters")
         gc.collect()
         gc.freeze()  # what lives as long as the process is not looked through again
@@ -77,11 +81,10 @@
         self.log("ended", {"clean": not self.failed})
         return 1 if self.failed else 0
 
-    def close_unused(self):
+    def sweep(self):
         while True:
-            self.gateways.close_idle()
-            self.gateways.bound_unsent()
-            self.scheduler.sleep(0.05 if self.gateways.idle_after else 0.5)
+            self.gateways.sweep()
+            self.scheduler.sleep(LOOK)
 
     def print_counters(self):
         while True:
@@ -95,6 +98,25 @@
             self.log("leaving", {"stop_in": self.configuration.stop})
             self.scheduler.spawn(self.drain, name="drain")
 
+    def reload(self):
+        """Takes the addresses of other parties from the file; what else changed in it waits for a restart. A
+        file that can't be used changes nothing."""
+        fresh = self.read_again()
+        if not isinstance(fresh, Configuration):
+            self.counters.add("reload.refused")
+            self.log("reload_refused", {"why": fresh})
+            return
+        old = self.configuration
+        changed = [field for field in Configuration._fields if getattr(fresh, field) != getattr(old, field)]
+        moved = [field for field in changed if field in MOVABLE]
+        self.configuration = old._replace(**{field: getattr(fresh, field) for field in moved})
+        self.link.move(self.configuration.executor)
+        self.ledger.move(self.configuration.ledger)
+        self.reporter.move(self.configuration.naming)
+        self.counters.add("reload.taken")
+        self.log("reloaded", {"moved": ",".join(moved) or "nothing",
+                              "wants_restart": ",".join(f for f in changed if f not in moved) or "nothing"})
+
     def drain(self):
         """Serves on through the grace, then takes nothing new; ends when all is answered and all gateways
         have closed, so that nothing on its way is cut off, or shortly before the stop."""
--- a/valeturn/protocol/frames.py
+++ b/valeturn/protocol/frames.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
-import math
+import re
 import struct
 from typing import NamedTuple
 
 from .submitted import Submitted
 
 LEAST, MOST = 5, 262144  # what a frame's length may be
-KEPT = 16384  # bytes of a frame that are held, several submissions: hundreds of connections share the memory
+KEPT = 4096  # bytes of a frame that are held, a body and all fields: hundreds of connections share the memory
 BODY = 2048  # bytes of a submission's body
 CALL, ANSWER, CANCEL, CHECK, CHECKED, NO_MORE = 7, 8, 9, 1, 2, 3
 DELIVERED, TURNED_BACK, WRITTEN_OFF = 1, 0, 9
 GOOD, NOT_GOOD = 1, 0
+LONGEST = 86_400_000.0  # ms: nobody waits for more than a day of work or a day long
+UNDER_1, UNDER_2000 = 1 - 2**-53, 2000 - 2**-42  # the largest numbers below
 HEX = frozenset("0123456789abcdef")
 HEADER = struct.Struct("<IBI")
 SIZE = struct.Struct("<H")
+PLAIN = re.compile(r"[0-9]{1,16}(\.[0-9]{1,18})?")  # what else `float` reads is no number
 
 
 class Unreadable(NamedTuple):
@@ -80,6 +83,10 @@
         del self.held[:at]
         return out
 
+    @property
+    def unfinished(self):
+        return bool(self.held or self.passing)
+
     def pass_over(self, data, out):
         """Drops what belongs to the large frame; returns what comes after it."""
         taken = min(self.passing, len(data))
@@ -119,7 +126,10 @@
             at += 2 + size
             if at > len(payload):
                 return None
-            fields[name.decode()] = value.decode()
+            name = name.decode()
+            if name in fields:
+                return None
+            fields[name] = value.decode()
     except (IndexError, struct.error, UnicodeDecodeError):
         return None
     return fields, payload[at:]
@@ -132,10 +142,7 @@
         return absent
     if text is None:
         raise ValueError(f"{name} is missing")
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
+    value = float(text) if PLAIN.fullmatch(text) else -1.0
     if not least <= value <= most:
         raise ValueError(f"{name} is unreadable")
     return value
@@ -150,11 +157,11 @@
             raise ValueError("op is missing")
         if len(body) > BODY:
             raise ValueError("body too long")
-        wait, hint = _number(fields, "ttl", 1e9), _number(fields, "work", 1e9)
+        wait, hint = _number(fields, "ttl", LONGEST), _number(fields, "work", LONGEST)
         return Submitted(
             stream, call, workload, fields.get("org"), _number(fields, "recv", 1e15, ...) / 1000.0,
             None if wait is None else wait / 1000.0, None if hint is None else hint / 1000.0,
-            _number(fields, "heap", 2000.0, ..., 1e-9), _number(fields, "crit", 1.0, 0.0),
+            _number(fields, "heap", UNDER_2000, ..., 1e-9), _number(fields, "crit", UNDER_1, 0.0),
             int(_number(fields, "src", 2**53, 0.0)), fields.get("row"), fields.get("dedupe"),
             fields.get("rep") == "1", body)
     except ValueError as error:
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -8,6 +8,7 @@
 
 import heapq
 import time
+from typing import NamedTuple
 
 from .. import interface as it
 from ..protocol import executor as lines
@@ -16,10 +17,11 @@
 from .executor import REPLAY_END
 from .repeats import Repeats
 
-MOST_MESSAGES = 16384  # in the queue: more than all submissions that may be open; putters wait past it
-MOST_OPEN = 8192  # submissions: 4 KB each, 32 MB of the process's 192; newcomers past it are turned back
 GAUGES_AHEAD = 0.005  # s before a wake-up that its gauges are asked for: the answer took 0.3 ms, 1 at most
 GAUGES_LAST = 0.3  # s that gauges count as the moment's: three sweeps, so that one late answer is bridged
+# A run in doubt has this many times its hinted work, and so many seconds on top, to be heard of: most runs
+# end sooner, and what is told to stop when it does run is lost.
+DOUBT, DOUBT_LEAST = 3.0, 0.1
 CHECK_PATIENCE = 1.0  # s for a deep check: what takes longer is no good server either
 
 ENDS = {lines.End.DONE: it.Outcome.DONE, lines.End.FAILED: it.Outcome.ERROR,
@@ -35,29 +37,42 @@
 class Open:
     """A submission that is owed an answer, runs, or both."""
 
-    __slots__ = ("answered", "attempt", "body", "call", "connection", "halted", "halting", "key",
-                 "notice", "number", "ran", "repeats", "reply", "run", "sent_mark", "since", "stream", "w",
-                 "workload")
+    __slots__ = ("answered", "attempt", "body", "call", "connection", "halted", "halting", "hint", "key",
+                 "notice", "number", "probed", "ran", "repeats", "reply", "run", "sent_at", "sent_mark",
+                 "since", "stream", "w", "workload")
 
-    def __init__(self, since, number, connection, stream, call, workload, w, body, key):
+    def __init__(self, since, number, connection, stream, call, workload, w, body, key, hint):
         self.number, self.connection, self.stream, self.call = number, connection, stream, call
         self.workload, self.w, self.body, self.key, self.since = workload, w, body, key, since
-        self.answered, self.run, self.ran, self.sent_mark = False, IDLE, False, 0
+        self.hint, self.answered, self.run, self.ran = hint, False, IDLE, False
+        self.sent_mark, self.sent_at = 0, 0.0
         self.halting, self.halted = False, None  # asked to stop; the gauges' mark when that was sent
+        self.probed = False  # told to stop only to find out whether it runs
         self.notice, self.reply, self.attempt = None, None, 0  # the call: wanted, replied, its count
         self.repeats = None
 
 
+class Reply(NamedTuple):
+    """What was sent for a call, kept until the executor is known to have it."""
+
+    mark: int  # the gauges asked for last before it
+    at: float
+    line: bytes
+    instead: bytes | None  # what says the same and can't meet the run's next call
+    sent: bool
+
+
 class Core:
-    def __init__(self, scheduler, names, make_rules, link, ledger, gateways, reporter, count, times, log):
+    def __init__(self, scheduler, names, bounds, make_rules, link, ledger, gateways, reporter, count, times,
+                 log):
         self.scheduler, self.make_rules = scheduler, make_rules
         self.names, self.settings = names, names.settings
         self.link, self.ledger, self.gateways, self.reporter = link, ledger, gateways, reporter
         self.count, self.log = count, log
-        self.mailbox = Mailbox(scheduler, MOST_MESSAGES)
+        self.most_open, self.mailbox = bounds.submissions, Mailbox(scheduler, bounds.messages)
         self.rules, self.numbers = None, 0
         self.open, self.by_call, self.by_stream, self.joiners = {}, {}, {}, {}
-        self.repeats, self.batch = Repeats(), {}
+        self.repeats, self.batch = Repeats(bounds.results), {}
         self.wakes, self.asked, self.asked_at, self.times = [], 0.0, 0.0, times
         self.gauges, self.gauged_at, self.mark, self.seen_mark = (), -1.0, 0, 0
         self.good, self.shallow, self.load, self.checks = False, True, None, {}
@@ -123,7 +138,6 @@
             self.events.append(it.Woken(mark, self.names.gauges(self.gauges if fresh else ())))
         if due:
             self.repeats.expire(now)
-            self.ledger.drop_unused()
             self.link.check()
 
     def module_failed(self, now, error):
@@ -165,7 +179,9 @@
     def on_link_down(self, now, m):
         for sub in self.open.values():
             if sub.run == SENT:
-                sub.run = DOUBTED
+                sub.run = REACHED if sub.sent_at < m.arrived else DOUBTED
+            if sub.reply is not None and sub.reply.sent and sub.reply.at < m.arrived:
+                sub.reply = None
 
     def on_notices_missed(self, now, m):
         """An end may be among them."""
@@ -175,19 +191,21 @@
 
     def on_arrival(self, now, m):
         s, connection = m.submission, m.connection
-        if self.rules is None or len(self.open) >= MOST_OPEN:
+        if self.rules is None or len(self.open) >= self.most_open:
             self.count("in.too_early" if self.rules is None else "in.over_all")
             connection.turn_back(s.stream, self.load)
             return
-        if s.call in self.by_call:
-            self.come_again(self.by_call[s.call], connection, s.stream)
+        if s.call in self.by_call:  # one submission has one answer, which is its first caller's alone
+            self.count("in.again")
+            connection.write_off(s.stream, self.load)
             return
         self.numbers += 1
         number, workload = self.numbers, self.names.workloads[s.workload]
         w = self.settings.workloads[workload]
         waited = max(0.0, time.time() - s.reached)
         key = self.key_of(s, workload, w)
-        sub = Open(now, number, connection, s.stream, s.call, s.workload, w, s.body, key)
+        sub = Open(now, number, connection, s.stream, s.call, s.workload, w, s.body, key,
+                   s.hint)
         repeats = None
         if key is not None:
             repeats = self.repeats.repeated(key, now - waited) or self.batch.get(key)
@@ -200,17 +218,6 @@
             retry=s.retry, subject=s.subject, caller=s.caller, memory=s.memory, left=left, repeats=repeats,
             cost_hint=s.hint))
 
-    def come_again(self, sub, connection, stream):
-        """The same try on another connection, as after one that was closed under it: one submission with one
-        answer, which goes where it was asked for last. Where its caller seemed gone, it may have run."""
-        self.count("in.again")
-        if sub.answered:
-            connection.write_off(stream, self.load)
-        else:
-            self.by_stream.pop((sub.connection, sub.stream), None)
-            sub.connection, sub.stream = connection, stream
-            self.by_stream[connection, stream] = sub
-
     def key_of(self, s, workload, w):
         """What a repeat shares with the one it repeats: the mark of a deduplicated one, else what is read."""
         if w.effect is it.Effect.DEDUPLICATED:
@@ -224,8 +231,10 @@
             self.gone(sub)
 
     def on_connection_ended(self, now, m):
-        for sub in [sub for sub in self.open.values() if sub.connection is m.connection]:
-            self.gone(sub)
+        for stream in m.streams:
+            sub = self.by_stream.get((m.connection, stream))
+            if sub is not None:
+                self.gone(sub)
 
     def gone(self, sub):
         """Its caller left: nothing is owed, and the module hears it."""
@@ -271,12 +280,12 @@
         for sub in self.open.values():
             if sub.run == SENT and sub.sent_mark < self.seen_mark:
                 sub.run = REACHED
-            if sub.reply is not None and sub.reply[0] < self.seen_mark:
+            if sub.reply is not None and sub.reply.mark < self.seen_mark:
                 sub.reply = None
-            if sub.run == DOUBTED and sub.answered and self.surely_not_running(sub):
+            if sub.run == DOUBTED and (sub.answered or sub.probed) and self.surely_not_running(sub):
                 doubted.append(sub)
         for sub in doubted:
-            self.run_over(sub, it.Outcome.CANCELLED, 0.0, None)
+            self.never_ran(sub)
 
     def surely_not_running(self, sub):
         """The executor was told to stop it and has told of no end since, so there was no run. Where work
@@ -285,23 +294,44 @@
             return True
         return sub.halted is not None and sub.halted < self.seen_mark
 
+    def never_ran(self, sub):
+        """One that is owed its answer is the module's to start again."""
+        self.count("executor.never_ran")
+        sub.ran = sub.probed = False
+        self.run_over(sub, it.Outcome.CANCELLED, 0.0, None)
+
     def resume_runs(self):
-        """After a join, when all missed notices were read: sends again what may be sent again."""
+        """After a join, when all missed notices were read: sends again what may be sent again. What must not
+        run twice and is not heard of in the time that it should take is told to stop: no end means no run."""
+        now = self.scheduler.clock()
         for sub in list(self.open.values()):
             if sub.run == WANTED or sub.run == DOUBTED and sub.w.effect is it.Effect.IDEMPOTENT:
                 self.send_start(sub)
+            elif sub.run == DOUBTED:
+                self.count("executor.doubts")
+                wait = sub.sent_at + DOUBT_LEAST + DOUBT * (sub.hint or 0.0) - now
+                self.scheduler.call_later(wait, self.mailbox.push, msg.Doubt(sub.number))
             if sub.reply is not None:
-                _, line, instead = sub.reply
-                self.link.send(instead or line)
+                reply = sub.reply
+                self.link.send(reply.instead if reply.sent and reply.instead else reply.line)
             if sub.halting:
                 self.send_halt(sub)
 
+    def on_doubt(self, now, m):
+        sub = self.open.get(m.number)
+        can = self.settings.halting is not it.Halting.OFF
+        if sub is not None and sub.run == DOUBTED and not sub.halting and can:
+            sub.probed = sub.halting = True
+            self.send_halt(sub)
+
     def on_run_over(self, now, m):
         sub = self.by_call.get(m.call)
         if sub is None or sub.run == IDLE:
             self.count("executor.run_of_none")
             return
         outcome = ENDS[m.end]
+        if outcome is it.Outcome.CANCELLED and sub.probed and self.settings.halting is it.Halting.DROP:
+            outcome = it.Outcome.ERROR  # it did run, and what it did is lost
         if outcome is it.Outcome.CANCELLED and not sub.halting and not sub.answered:
             # Ended unasked: its caller has gone, though nobody said so. One answer does no harm.
             self.events.append(it.Gone(sub.number))
@@ -311,7 +341,8 @@
     def run_over(self, sub, outcome, took, result):
         self.count("run." + outcome.name.lower())
         self.ledger.give_up(sub.number)
-        sub.run, sub.notice, sub.reply, sub.halting, sub.halted = IDLE, None, None, False, None
+        sub.run, sub.notice, sub.reply = IDLE, None, None
+        sub.halting, sub.halted, sub.probed = False, None, False
         self.events.append(it.Ended(sub.number, outcome, took))
         if outcome is it.Outcome.DONE:
             self.answer(sub, "delivered", result)
@@ -365,15 +396,17 @@
         must not meet the run's next call: going on without this one names its notice and can't."""
         instead = lines.go_without(sub.call, sub.notice[0]) if sub.w.poorer_share > 0 else None
         sent = self.link.send(line)
-        sub.reply, sub.notice = (self.mark, line, instead if sent else None), None
+        sub.reply, sub.notice = Reply(self.mark, self.scheduler.clock(), line, instead, sent), None
         sub.attempt += 1
 
     def on_not_carried_out(self, now, m):
+        """The executor was never sent what is to be run: whoever sent it to us made it up."""
         self.count("executor.bad." + m.command.lower())
-        self.log("not_carried_out", {"command": m.command, "call": m.call})
         sub = self.by_call.get(m.call)
         if sub is not None and m.command == "EXEC" and sub.run != IDLE:
+            connection = sub.connection
             self.run_over(sub, it.Outcome.MOOT, 0.0, None)
+            connection.refuse_connection("made up")
 
     def on_told(self, now, m):
         self.events.append(m.event)
@@ -385,6 +418,7 @@
 
     TAKES = {
         msg.LinkUp: on_link_up, msg.LinkDown: on_link_down, msg.NoticesMissed: on_notices_missed,
+        msg.Doubt: on_doubt,
         msg.Arrival: on_arrival,
         msg.Withdrawal: on_withdrawal, msg.ConnectionEnded: on_connection_ended, msg.Check: on_check,
         msg.CallOver: on_call_over, msg.Told: on_told, msg.Leaving: on_leaving, lines.RunOver: on_run_over,
@@ -426,6 +460,7 @@
     def send_start(self, sub):
         sent = self.link.send(lines.start(sub.call, sub.workload, sub.body))
         sub.run, sub.ran, sub.sent_mark = SENT if sent else WANTED, sub.ran or sent, self.mark
+        sub.sent_at = self.scheduler.clock()
 
     def do_halt(self, now, a):
         sub = self.open.get(a.id)
--- a/valeturn/routing/exchange.py
+++ b/valeturn/routing/exchange.py
@@ -1,4 +1,8 @@
-"""One HTTP exchange on a stream. How far it came is part of what is returned."""
+"""One HTTP exchange on a connection of its own. How far it came is part of what is returned.
+
+A connection is never used twice: what comes behind an answer can't be taken for the next one's, and a reset
+can't come from a connection that the other side had forgotten, so that it always means what it says.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +10,7 @@
 from typing import NamedTuple
 
 from ..protocol import http
-from ..transport.streams import Trouble
+from ..transport.streams import Trouble, connect
 
 
 class Stage(Enum):
@@ -22,8 +26,18 @@
     trouble: Trouble
 
 
-def exchange(scheduler, stream, request, until):
-    """An Answer, a Malformed, or the Failure that came first. The stream is left as it is."""
+def exchange(scheduler, address, request, until):
+    """An Answer, a Malformed, or the Failure that came first."""
+    stream = connect(scheduler, address, until - scheduler.clock())
+    if isinstance(stream, Trouble):
+        return Failure(Stage.UNSENT, stream)
+    try:
+        return _answer(scheduler, stream, request, until)
+    finally:
+        stream.close()
+
+
+def _answer(scheduler, stream, request, until):
     stage, answer, decoder = Stage.SENT, None, http.AnswerDecoder()
     if not stream.write(request):
         return Failure(stage, stream.trouble)
--- a/valeturn/routing/executor.py
+++ b/valeturn/routing/executor.py
@@ -10,13 +10,18 @@
 PATIENCE = 2.0  # s for a connection to come about
 SILENT = 5.0  # s without a line on a link that is asked for gauges ten times a second; pauses are far shorter
 REPLAY_END = "joined"  # mark of the gauges that are asked for after a join: all missed notices come before
+HANDOVER = "handover"  # mark of the last gauges on a link that another address replaces
+LOST = 0.08  # s before the last that was heard: a break takes at most the last 50 ms with it; reading is late
+SETTLING = 0.3  # s for those to come, a hundred times what gauges take; without them the link just breaks
 
 
 class ExecutorLink:
     def __init__(self, scheduler, address, chance, put, count):
         self.scheduler, self.address, self.put, self.count = scheduler, address, put, count
-        self.backoff = Backoff(chance, 0.02, 0.5)
+        self.backoff = Backoff(chance, 0.01, 0.5)
         self.stream, self.up, self.last, self.heard_at = None, False, 0, 0.0
+        self.next = None  # the stream to go on with
+        self.settled = self.joined = False  # all that was sent has arrived; the executor is there
         scheduler.spawn(self.run, name="executor")
 
     def send(self, line):
@@ -29,21 +34,62 @@
             self.count("executor.silent")
             self.stream.close(Trouble.TIMED_OUT)
 
+    def move(self, address):
+        """The link goes over to this address; the one that stands serves until the other is there."""
+        if address != self.address:
+            self.address = address
+            self.scheduler.spawn(self.hand_over, address, name="handover")
+
+    def hand_over(self, address):
+        backoff = Backoff(self.backoff.chance, 0.01, 0.2)
+        while address == self.address and self.stream is not None and self.stream.trouble is None:
+            made = connect(self.scheduler, address, PATIENCE)
+            if not isinstance(made, Trouble):
+                self.replace(made, address)
+                return
+            self.count("executor.connect." + made.name.lower())
+            self.scheduler.sleep(backoff.next())
+
+    def replace(self, made, address):
+        """Asks whether all that was sent has arrived, and sends no more, before the other takes over."""
+        old = self.stream
+        if address != self.address or self.next is not None or old is None or old.trouble is not None:
+            made.close()  # `run` connects by itself
+            return
+        self.next = made
+        if self.up and old.write(lines.gauge(HANDOVER)):
+            self.up = False
+            self.scheduler.call_later(SETTLING, old.close, Trouble.TIMED_OUT)
+        else:
+            old.close()
+
+    def connect(self):
+        made, self.next = self.next, None
+        if made is not None:
+            return made
+        address = self.address
+        made = connect(self.scheduler, address, PATIENCE)
+        if not isinstance(made, Trouble) and address != self.address:
+            made.close()
+            return Trouble.SHUT
+        return made
+
     def run(self):
         while True:
-            made = connect(self.scheduler, self.address, PATIENCE)
+            made = self.connect()
             if not isinstance(made, Trouble):
-                self.stream = made
+                self.stream, self.settled, self.joined = made, False, False
                 self.stream.write(lines.join(self.last))
                 why = self.read_all()
                 self.count("executor.link_ended." + why)
                 self.stream.close()
+                self.up = False
+                if self.joined:
+                    self.put(LinkDown(self.scheduler.clock() if self.settled else self.heard_at - LOST))
             else:
                 self.count("executor.connect." + made.name.lower())
-            if self.up:
-                self.up = False
-                self.put(LinkDown())
-            self.scheduler.sleep(self.backoff.next())
+            if self.next is None:
+                self.scheduler.sleep(self.backoff.next())
 
     def read_all(self):
         """Passes notices on until the link ends; says why it did."""
@@ -56,6 +102,9 @@
             for notice in decoder.feed(got):
                 if isinstance(notice, lines.Malformed):
                     return "malformed"
+                if isinstance(notice, lines.Gauged) and notice.mark == HANDOVER:
+                    self.settled = True
+                    return "handed_over"
                 self.pass_on(notice)
 
     def pass_on(self, notice):
@@ -69,7 +118,7 @@
                 self.put(NoticesMissed())
             self.last = number
         if isinstance(notice, lines.Welcomed):
-            self.up = True
+            self.up = self.joined = True
             self.put(LinkUp(notice.cold, notice.age))
             self.stream.write(lines.gauge(REPLAY_END))
         elif isinstance(notice, lines.Gauged) and notice.mark == REPLAY_END:
--- a/valeturn/routing/gateways.py
+++ b/valeturn/routing/gateways.py
@@ -2,50 +2,73 @@
 
 from __future__ import annotations
 
+import math
+import time
+
 from ..protocol import frames
-from ..transport.streams import Trouble
+from ..transport.streams import CHUNK, Trouble
 from .messages import Arrival, Check, ConnectionEnded, Withdrawal
 
 OPEN = 32  # submissions on one connection, as the protocol has it
 CLOSING = 1.0  # s that a gateway has to close after it was asked to: some round trips
+CROSSING = 0.1  # s for the same when room is short: what crosses a close within 50 ms is sent once more
 UNSENT = 163840  # bytes of answers waiting for a reader: all 32 at their longest; past it, it is too slow
-UNSENT_ALL = 32 << 20  # bytes over all connections, a sixth of the process's memory; the slowest go first
 GAPS = 4096  # stream numbers remembered out of order; past it the lowest gap counts as used
+FAULTS = 8  # that one connection may send before it is closed: gateways send none, and each costs a turn
+WHOLE = 1.5  # s for a first frame, or for the rest of one: half of what a client that sends rubbish is owed
+YOUNG = 0.3  # s in which a new connection is not closed for want of room: its first frame is on its way
+UNUSED = 0.5  # s without an open submission before a used one may be closed for want of room
+SPARE = 0.1  # of the connections are kept free, so that newcomers get in at once
+SKEW = 60.0  # s that a submission may seem to come from the future, as clocks are set
 
 
 class Connection:
     def __init__(self, gateways, stream):
         self.gateways, self.stream = gateways, stream
         self.open, self.ended, self.no_more = set(), False, False
-        self.closing = self.finishing = False
+        self.closing, self.close_at, self.faults = False, math.inf, 0
         self.used_up_to, self.used = 0, set()  # streams seen: all up to the first, and those above
-        self.idle_since = gateways.scheduler.clock()
+        # Since when it has no use; since when it waits for the rest of a frame, or None.
+        self.idle_since = self.waits_since = gateways.scheduler.clock()
+        self.spoke, self.task = False, gateways.scheduler.spawn(self.run, name="gateway")
 
     def run(self):
-        decoder, put = frames.FrameDecoder(), self.gateways.put
+        decoder, gateways = frames.FrameDecoder(), self.gateways
         try:
             while not self.closing:
                 got = self.stream.read()
                 if isinstance(got, Trouble):
-                    self.gateways.count("gateway.ended." + got.name.lower())
+                    if not self.closing:
+                        gateways.count("gateway.ended." + got.name.lower())
                     break
-                for message in decoder.feed(got):
+                messages = decoder.feed(got)
+                if messages:
+                    self.spoke, self.waits_since = True, None
+                if self.waits_since is None and decoder.unfinished:
+                    self.waits_since = gateways.scheduler.clock()
+                withdrawn = {m.stream for m in messages if isinstance(m, frames.Withdrawn)}
+                for message in messages:
                     if not self.closing and not self.ended:
-                        self.take(message, put)
+                        self.take(message, withdrawn)
+                if len(got) == CHUNK:  # more is there: the others' turn
+                    gateways.scheduler.pause()
+            if self.closing and not self.ended:
+                self.stream.finish(CLOSING)
         finally:
-            if not self.closing:
-                self.end()
+            self.end()
 
-    def take(self, message, put):
-        count = self.gateways.count
+    def take(self, message, withdrawn=()):
+        count, put = self.gateways.count, self.gateways.put
         if isinstance(message, frames.Submitted):
             count("in.submissions")
             if not self.is_new(message.stream):
                 self.refuse_connection("stream reused")
+            elif message.stream in withdrawn:  # taken back already: nobody waits for an answer
+                count("in.withdrawn_unread")
             elif len(self.open) >= OPEN:
                 self.refuse(message.stream, "over_open")
-            elif not self.gateways.known(message.workload):
-                self.refuse(message.stream, "workload")
+            elif why := self.gateways.unknown(message):
+                self.refuse(message.stream, why)
             else:
                 self.open.add(message.stream)
                 put(Arrival(self, message))
@@ -62,6 +85,7 @@
                 put(Withdrawal(self, message.stream))
         elif isinstance(message, frames.HealthAsked):
             count("in.checks")
+            self.idle_since = self.gateways.scheduler.clock()
             put(Check(self, message.stream, message.deep))
         else:
             self.refuse_connection(message.reason)
@@ -82,12 +106,22 @@
         """It never ran, and its answer says so."""
         self.gateways.count("in.unreadable." + why)
         self.turn_back(stream, None)
+        self.faults += 1
+        if self.faults >= FAULTS:
+            self.refuse_connection("faults")
 
     def refuse_connection(self, reason):
-        self.gateways.count("gateway.broken")
-        self.gateways.log("gateway_broken", {"reason": reason})
+        """Whoever sends this is no gateway that can be served: what is open is written off, as it may have
+        run, and the connection ends once the other side had time to read so."""
+        if self.closing or self.ended:
+            return
+        self.gateways.count("gateway.broken." + reason.split()[0])
+        for stream in sorted(self.open):
+            self.stream.write(frames.written_off(stream))
         self.stream.write(frames.connection_error())
-        self.close_when_answered()
+        self.closing = True
+        self.gateways.nobody_waits(self)
+        self.gateways.scheduler.wake(self.task, False)  # it may wait to read more
 
     # What the owner of the module asks of a front's connection.
 
@@ -107,29 +141,21 @@
         self.open.discard(stream)
         if not self.open:
             self.idle_since = self.gateways.scheduler.clock()
-        if not self.ended:
+        if not self.ended and not self.closing:
             self.stream.write(data)
-        if self.closing:
-            self.close_when_answered()
-
-    def close_when_answered(self):
-        """After an error on it: all that is open is answered, then the connection ends."""
-        self.closing = True
-        if not self.open and not self.ended and not self.finishing:
-            self.finishing = True
-            self.gateways.scheduler.spawn(self.finish, name="finish")
-
-    def finish(self):
-        try:
-            self.stream.finish(CLOSING)
-        finally:
-            self.end()
 
-    def ask_to_close(self):
-        """No new submission comes after this; the gateway closes when all are answered."""
-        if not self.no_more and not self.ended:
+    def ask_to_close(self, patience=CLOSING):
+        """No new submission comes after this; the gateway closes when all are answered, or else this side."""
+        if self.ended or self.closing:
+            return
+        if not self.no_more:
             self.no_more = True
             self.stream.write(frames.no_more())
+        self.close_at = min(self.close_at, self.gateways.scheduler.clock() + patience)
+
+    def can_end(self, now):
+        """It was asked to close long enough ago, and what crossed that has its answer."""
+        return not self.open and now > max(self.close_at, self.idle_since + CROSSING)
 
     def end(self):
         if not self.ended:
@@ -139,41 +165,79 @@
 
 
 class Gateways:
-    def __init__(self, scheduler, put, known, count, log):
-        self.scheduler, self.put, self.known, self.count, self.log = scheduler, put, known, count, log
+    def __init__(self, scheduler, put, names, bounds, count):
+        self.scheduler, self.put, self.names, self.bounds, self.count = scheduler, put, names, bounds, count
         self.connections, self.listener, self.idle_after = {}, None, 0.0
 
     def accept(self, stream):
         stream.most_unsent = UNSENT
-        connection = Connection(self, stream)
-        self.connections[connection] = None
+        self.connections[Connection(self, stream)] = None
         self.count("gateway.connections")
-        self.scheduler.spawn(connection.run, name="gateway")
+
+    def unknown(self, s):
+        """What makes a submission that can be read one of nobody's, or None."""
+        if s.workload not in self.names.workloads:
+            return "workload"
+        if self.names.tenants and s.tenant not in self.names.tenants:
+            return "tenant"
+        return "reached" if s.reached > time.time() + SKEW else None
 
     def forget(self, connection):
         if self.connections.pop(connection, self) is None:
             if self.listener is not None:
                 self.listener.released()
-            self.scheduler.spawn(self.put, ConnectionEnded(connection), name="ended")
+            self.nobody_waits(connection)
+
+    def nobody_waits(self, connection):
+        if connection.open:
+            ended = ConnectionEnded(connection, frozenset(connection.open))
+            connection.open.clear()
+            self.scheduler.spawn(self.put, ended, name="ended")
 
     def bound_unsent(self):
         waiting = sorted((len(c.stream.unsent), id(c), c) for c in self.connections if c.stream.unsent)
         total = sum(size for size, _, _ in waiting)
-        while total > UNSENT_ALL:
+        while total > self.bounds.unsent:
             size, _, connection = waiting.pop()
             total -= size
             self.count("gateway.too_slow")
             connection.end()
 
-    def close_idle(self):
-        """Asks unused connections to close, and closes those that were asked long enough ago."""
+    def sweep(self):
+        """Ends those that keep a frame waiting, and asks unused ones to close where the module or a shortage
+        wants it."""
         now = self.scheduler.clock()
         for connection in list(self.connections):
-            unused = now - connection.idle_since
-            if not connection.open and self.idle_after and unused > self.idle_after:
+            if connection.closing:
+                continue
+            if connection.waits_since is not None and now - connection.waits_since > WHOLE:
+                self.count("gateway.half_a_frame" if connection.spoke else "gateway.no_frame")
+                connection.refuse_connection("waiting")
+            elif connection.can_end(now):
+                connection.end()
+            elif not connection.open and self.idle_after and now - connection.idle_since > self.idle_after:
                 connection.ask_to_close()
-                if unused > self.idle_after + CLOSING:
-                    connection.end()
+        short = len(self.connections) - int((1 - SPARE) * self.bounds.connections)
+        if short > 0:
+            for connection in self.least_used(now)[:short]:
+                self.count("gateway.unused")
+                connection.ask_to_close(CROSSING)
+        self.bound_unsent()
+
+    def least_used(self, now):
+        """Those that can be done without, first those that never said a thing, then by how long unused."""
+        free = [c for c in self.connections if not c.open and not c.closing and (
+            now - c.idle_since > (UNUSED if c.spoke else YOUNG))]
+        return sorted(free, key=lambda c: (c.spoke, c.idle_since))
+
+    def make_room(self):
+        """Ends the one that can best be done without: what crosses this its gateway sends once more."""
+        for connection in self.least_used(self.scheduler.clock())[:1]:
+            self.count("gateway.made_room")
+            connection.ask_to_close()
+            connection.end()
+            return True
+        return False
 
     def ask_all_to_close(self):
         for connection in list(self.connections):
--- a/valeturn/routing/ledger.py
+++ b/valeturn/routing/ledger.py
@@ -1,16 +1,13 @@
-"""Calls to the ledger: pooled connections, one call at a time on each, never sent again by the pool."""
+"""Calls to the ledger: each on a connection of its own, never sent again from here."""
 
 from __future__ import annotations
 
 from ..interface import Outcome
 from ..protocol import http
-from ..transport.streams import Trouble, connect
+from ..transport.streams import Trouble
 from .exchange import Failure, Stage, exchange
 from .messages import CallOver
 
-KEPT = 16  # unused connections kept: more calls at once than one server's share has been seen to allow
-IDLE = 5.0  # s unused until one is dropped: half of the ledger's own idle close, so that none breaks in use
-
 
 def outcome_of(end):
     """What an attempt proves: an answer's status, or how far it came and what stopped it."""
@@ -18,6 +15,8 @@
         if end.stage is Stage.UNSENT:
             return Outcome.UNREACHED
         return Outcome.TIMED_OUT if end.trouble is Trouble.TIMED_OUT else Outcome.RESET
+    if isinstance(end, http.Malformed):
+        return Outcome.RESET
     if end.status == 200:
         return Outcome.DONE
     if end.headers.get("x-untouched") == "1":
@@ -27,10 +26,13 @@
 
 class Ledger:
     def __init__(self, scheduler, address, most, put, count):
-        self.scheduler, self.address, self.most, self.put, self.count = scheduler, address, most, put, count
-        self.host = f"{address[0]}:{address[1]}"
-        self.kept = []  # (stream, since when unused), the latest last
-        self.out = {}  # submission -> (task, stream or None)
+        self.scheduler, self.most, self.put, self.count = scheduler, most, put, count
+        self.out = {}  # submission -> task
+        self.move(address)
+
+    def move(self, address):
+        """Calls go to this address from now on; those that are out end where they are."""
+        self.address, self.host = address, f"{address[0]}:{address[1]}"
 
     def call(self, number, attempt, reference, wait, body):
         self.give_up(number)
@@ -39,64 +41,27 @@
             over = CallOver(number, attempt, Outcome.UNREACHED, 0.0, b"")
             self.scheduler.spawn(self.put, over, name="bound")
             return
-        entry = self.out[number] = [None, None]
-        entry[0] = self.scheduler.spawn(self._run, entry, number, attempt, reference, wait, body, name="call")
+        self.out[number] = self.scheduler.spawn(
+            self._run, number, attempt, reference, wait, body, name="call")
 
     def give_up(self, number):
-        """Closing the connection tells the ledger; nothing more is reported of that call."""
-        task, stream = self.out.pop(number, (None, None))
+        """The task's end closes the connection, which tells the ledger; nothing more is reported of it."""
+        task = self.out.pop(number, None)
         if task is not None:
             self.count("ledger.given_up")
             self.scheduler.cancel(task)
-            if stream is not None:
-                stream.close()
 
-    def _run(self, entry, number, attempt, reference, wait, body):
+    def _run(self, number, attempt, reference, wait, body):
         began = self.scheduler.clock()
         head = [("X-Txn-Ref", reference), ("X-Limit-Ms", str(max(1, round(1000 * wait))))]
-        end = self._attempt(entry, began + wait, http.request("POST", "/post", self.host, head, body))
+        request = http.request("POST", "/post", self.host, head, body)
+        end = exchange(self.scheduler, self.address, request, began + wait)
         outcome = outcome_of(end)
         self.out.pop(number, None)
         self.count("ledger." + outcome.name.lower())
         if isinstance(end, Failure):
             self.count(f"ledger.{end.stage.name.lower()}.{end.trouble.name.lower()}")
+        elif isinstance(end, http.Malformed):
+            self.count("ledger.malformed")
         reply = end.body if outcome is Outcome.DONE else b""
         self.put(CallOver(number, attempt, outcome, self.scheduler.clock() - began, reply))
-
-    def _attempt(self, entry, until, data):
-        stream = self._unused()
-        if stream is None:
-            stream = connect(self.scheduler, self.address, until - self.scheduler.clock())
-            if isinstance(stream, Trouble):
-                return Failure(Stage.UNSENT, stream)
-            self.count("ledger.connections")
-        entry[1] = stream
-        answer = exchange(self.scheduler, stream, data, until)
-        if isinstance(answer, Failure):
-            stream.close()
-            return answer
-        if isinstance(answer, http.Malformed):
-            self.count("ledger.malformed")
-            stream.close()
-            return Failure(Stage.PARTLY_ANSWERED, Trouble.RESET)
-        if answer.keep and len(self.kept) < KEPT:
-            self.kept.append((stream, self.scheduler.clock()))
-        else:
-            stream.close()
-        return answer
-
-    def _unused(self):
-        """The connection used last; those unused for too long, or closed by the ledger, are dropped."""
-        while self.kept:
-            stream, since = self.kept.pop()
-            if self.scheduler.clock() - since < IDLE and stream.quiet():
-                return stream
-            stream.close()
-        return None
-
-    def drop_unused(self):
-        now = self.scheduler.clock()
-        for stream, since in self.kept:
-            if now - since >= IDLE:
-                stream.close()
-        self.kept = [(stream, since) for stream, since in self.kept if now - since < IDLE]
--- a/valeturn/routing/messages.py
+++ b/valeturn/routing/messages.py
@@ -20,6 +20,7 @@
 
 class ConnectionEnded(NamedTuple):
     connection: object
+    streams: frozenset  # that were open on it
 
 
 class Check(NamedTuple):
@@ -34,7 +35,13 @@
 
 
 class LinkDown(NamedTuple):
-    pass
+    arrived: float  # all commands that were sent before this moment are known to have arrived
+
+
+class Doubt(NamedTuple):
+    """It is time to find out whether a run that may have been lost with a link ever began."""
+
+    number: int
 
 
 class NoticesMissed(NamedTuple):
--- a/valeturn/routing/naming.py
+++ b/valeturn/routing/naming.py
@@ -4,54 +4,56 @@
 
 from ..protocol import http
 from ..transport.chance import Backoff
-from ..transport.streams import Trouble, connect
-from .exchange import exchange
+from .exchange import Failure, Stage, exchange
 
 EVERY = 0.7  # s between reports: four fit into the 3 s after which a silent server leaves the list
-PATIENCE = 0.6  # s for one: a hung report leaves time for the next within the 3 s
+PATIENCE = 0.5  # s for one: with EVERY less than half of the 3 s, so that one hung report leaves room for two
 
 
 class Reporter:
     def __init__(self, scheduler, address, name, chance, count):
-        self.scheduler, self.address, self.name, self.count = scheduler, address, name, count
+        self.scheduler, self.name, self.count = scheduler, name, count
         self.backoff = Backoff(chance, 0.05, EVERY)
-        self.host, self.stream, self.serving, self.idle = f"{address[0]}:{address[1]}", None, False, False
+        self.serving = self.idle = self.again = False
+        self.move(address)
         self.task = scheduler.spawn(self.run, name="naming")
 
+    def move(self, address):
+        """Reports go to this address from now on, the first at once."""
+        self.address, self.host = address, f"{address[0]}:{address[1]}"
+        self.report_now()
+
     def tell(self, serving):
         """A change is reported at once, or right after the report that is on its way."""
         if serving != self.serving:
             self.serving = serving
-            if self.idle:
-                self.scheduler.wake(self.task)
+            self.report_now()
+
+    def report_now(self):
+        self.again = True
+        if self.idle:
+            self.scheduler.wake(self.task)
 
     def run(self):
         while True:
-            serving = self.serving
-            good = self.report()
-            self.count("naming.reports" if good else "naming.failed")
-            if good:
+            self.again = False
+            sent = self.report()
+            if sent:
                 self.backoff.reset()
-            if not good or serving == self.serving:
+            if not self.again:
                 self.idle = True
-                self.scheduler.wait(EVERY if good else self.backoff.next())
+                self.scheduler.wait(EVERY if sent else self.backoff.next())
                 self.idle = False
 
     def report(self):
-        until = self.scheduler.clock() + PATIENCE
-        if self.stream is not None and not self.stream.quiet():
-            self.stream.close()
-            self.stream = None
-        if self.stream is None:
-            made = connect(self.scheduler, self.address, PATIENCE)
-            if isinstance(made, Trouble):
-                return False
-            self.stream = made
+        """True where it may have counted: one that was sent whole and then met silence counts as sent."""
         body = b'{"serving":"%s"}' % (b"yes" if self.serving else b"no")
         head = [("Content-Type", "application/json")]
         request = http.request("PUT", f"/ns/hosts/{self.name}", self.host, head, body)
-        answer = exchange(self.scheduler, self.stream, request, until)
-        if not isinstance(answer, http.Answer) or not answer.keep:
-            self.stream.close()
-            self.stream = None
-        return isinstance(answer, http.Answer) and answer.status == 204
+        end = exchange(self.scheduler, self.address, request, self.scheduler.clock() + PATIENCE)
+        if isinstance(end, http.Answer) and end.status == 204:
+            self.count("naming.reports")
+            return True
+        silent = isinstance(end, Failure) and end.stage is Stage.SENT
+        self.count("naming.unanswered" if silent else "naming.failed")
+        return silent
--- a/valeturn/settings.py
+++ b/valeturn/settings.py
@@ -84,6 +84,11 @@
             over_share_worth=_get(profile, "over_share_worth", 1.0),
         )
 
+    def __eq__(self, other):
+        return isinstance(other, Names) and vars(self) == vars(other)
+
+    __hash__ = None
+
     def gauges(self, values):
         named = zip(self.gauge_names, values or ())
         return it.Gauges(**{name: value for name, value in named if name})
--- a/valeturn/transport/listener.py
+++ b/valeturn/transport/listener.py
@@ -1,4 +1,4 @@
-"""Accepts connections, up to a budget of descriptors: past it the kernel's queue waits, as does this task."""
+"""Accepts connections, up to a budget of descriptors: past it others must make room, else newcomers wait."""
 
 from __future__ import annotations
 
@@ -9,13 +9,14 @@
 from .streams import Stream
 
 BACKLOG = 512  # a whole fleet of gateways may connect at once after a start
-SHORTAGE = 0.05  # s without accepting when descriptors or memory ran out: not a busy loop, soon over
+SHORTAGE = 0.02  # s without accepting when descriptors or memory ran out: not a busy loop, soon over
 SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Listener:
-    def __init__(self, scheduler, address, most, on_stream):
+    def __init__(self, scheduler, address, most, on_stream, make_room=lambda: False):
         self.scheduler, self.most, self.on_stream, self.count = scheduler, most, on_stream, 0
+        self.make_room = make_room  # ends a connection that can be done without; False where there is none
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
@@ -26,26 +27,26 @@
 
     def run(self):
         while not self.closed:
-            if self.count >= self.most:
+            if self.scheduler.wait_fd(self.sock.fileno(), READ) and not self.accept_all():
                 self.shortages += 1
                 self.scheduler.sleep(SHORTAGE)
-            elif self.scheduler.wait_fd(self.sock.fileno(), READ):
-                self.accept_all()
 
     def accept_all(self):
-        while self.count < self.most and not self.closed:
+        """False when there is no room for one more."""
+        while not self.closed:
+            if self.count >= self.most and not self.make_room():
+                return False
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
-                return
+                return True
             except OSError as error:
                 if error.errno in SHORT:
-                    self.shortages += 1
-                    self.scheduler.sleep(SHORTAGE)
-                    return
+                    return False
                 continue  # that one broke before it was accepted
             self.count += 1
             self.on_stream(Stream(self.scheduler, sock))
+        return True
 
     def released(self):
         self.count -= 1
--- a/valeturn/transport/scheduler.py
+++ b/valeturn/transport/scheduler.py
@@ -204,6 +204,10 @@
         while len(self.items) >= self.most:
             self.putters.append(greenlet.getcurrent())
             self.scheduler.park()
+        self.push(item)
+
+    def push(self, item):
+        """For those that cannot wait, such as timers, of which there are no more than what is open."""
         self.items.append(item)
         if self.owner is not None:
             self.scheduler.wake(self.owner)
--- a/valeturn/transport/signals.py
+++ b/valeturn/transport/signals.py
@@ -8,6 +8,14 @@
 from .streams import Stream
 
 
+HELD = []  # numbers that came before a Signals took over
+
+
+def hold(number):
+    """Keeps a signal for the Signals to come."""
+    signal.signal(number, lambda number, _: HELD.append(number))
+
+
 class Signals:
     def __init__(self, scheduler, actions):
         """actions: signal number -> function, called in a task."""
@@ -19,6 +27,9 @@
         for number in actions:
             signal.signal(number, lambda *_: None)
         scheduler.spawn(self.run, name="signals")
+        for number in HELD:
+            signal.raise_signal(number)
+        HELD.clear()
 
     def run(self):
         while True:
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -84,20 +84,11 @@
                 self.sock.shutdown(socket.SHUT_WR)
             except OSError:
                 pass
-            while isinstance(self.read(max(0.0, until - self.scheduler.clock())), bytes):
-                pass
+            while isinstance(self.read(max(0.0, until - self.scheduler.clock())), bytes) and (
+                    self.scheduler.clock() < until):
+                self.scheduler.pause()
         self.close()
 
-    def quiet(self):
-        """True while the other side has sent nothing and not closed: such a kept connection may be used."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return self.trouble is None
-        except OSError:
-            pass
-        return False
-
     def close(self, why=Trouble.SHUT):
         if self.sock.fileno() < 0:
             return
