--- a/valeturn/routing/pace.py
+++ b/valeturn/routing/pace.py
@@ -8,7 +8,7 @@
 import time
 
 LOOK = 0.1  # s over which the use of CPU is taken: as long as a limit on CPU holds up a process that used it
-FREE = 0.4  # of the CPU that the process may use, up to which nothing waits: days without a flood stay below
+FREE = 0.65  # of the CPU that the process may use, up to which nothing waits: days without a flood stay below
 MOST = 0.006  # s: at full use a dozen events share a turn, and four such waits fit well into a goal
 
 
@@ -23,4 +23,4 @@
             used = self.used()
             self.share += 0.5 * ((used - self.before) / ((now - self.at) * self.cores) - self.share)
             self.at, self.before = now, used
-        return MOST * min(1.0, max(0.0, (self.share - FREE) / (0.9 - FREE)))
+        return MOST * min(1.0, max(0.0, (self.share - FREE) / (0.95 - FREE)))
