--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -69,7 +69,7 @@
 SPARES = 4  # a core: more than can start within a goal, few enough to look through at each event
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
 PATIENCE = 2.5  # least waits, ten mean calls: what is silent for longer hardly ever answers, and takes credit
-CALLS_RATE, CALLS_SAVED = 0.55, 0.4  # of the share of calls: together under 1, so no window passes it
+CALLS_RATE, CALLS_SAVED = 0.7, 0.25  # of the share of calls: together under 1, so no window passes it
 
 
 class Fading:
