The module is told to be done 0.15 s before the stop, as the process ends then; beliefs counted

Seen on reload: server n2 ended with one submission owed ('drained' connections=1 open=1), 3.42 s after a notice with 3.57 s.

Beliefs (open, owed, running, in doubt, calls out, connections, ages of gauges and of the last report) are printed with the counters.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -16,6 +16,7 @@
 
 from valeturn.program import configuration, logs
 from valeturn.program.counters import Counters
+from valeturn.program.server import MARGIN, Server
 
 ROOT = pathlib.Path(__file__).parent.parent
 CONFIG = json.loads((ROOT / "examples/config.json").read_text())
@@ -226,6 +227,28 @@
         socket.create_connection(address, timeout=5)
 
 
+def test_what_the_executor_never_ends_is_answered_before_the_process_does(server):
+    run, address, toy = server
+    with socket.create_connection(address, timeout=20) as sock:
+        sock.sendall(submit(1, "file"))
+        time.sleep(0.05)
+        toy.send_signal(signal.SIGSTOP)
+        run.send_signal(signal.SIGTERM)
+        assert answers(sock, 1)[0] == {1: (9, b"")}
+    _, log = run.communicate(timeout=20)
+    assert run.returncode == 0 and "event=drained" in log and "owed=0 took" in log
+
+
+def test_the_module_is_told_to_be_done_before_the_process_ends():
+    made = Server(configuration.decode(changed("stop_ms", 2000)), lambda *_, **__: None)
+    told, made.core.put = [], lambda message: told.append(message) or 1 / 0
+    made.leave_at = made.scheduler.clock()
+    made.stop_at = made.leave_at + 2.0
+    with pytest.raises(ZeroDivisionError):
+        made.drain()
+    assert told[0].left <= 2.0 - MARGIN
+
+
 def test_counters_are_printed_on_a_signal(server):
     run, address, _ = server
     with socket.create_connection(address, timeout=20) as sock:
@@ -236,6 +259,8 @@
         while not lines or "group=process" not in lines[-1]:
             lines.append(run.stderr.readline())
         assert any("group=in" in line and "submissions=1" in line for line in lines)
+        beliefs, = [line for line in lines if "group=beliefs" in line]
+        assert "connections=1" in beliefs and "link_up=1" in beliefs and "owed=0" in beliefs
         assert "cpu_ms_per_submission=" in lines[-1] and "lag_most_ms=" in lines[-1]
 
 
--- a/valeturn/program/counters.py
+++ b/valeturn/program/counters.py
@@ -51,8 +51,9 @@
             "lag_most_ms": 1000.0 * scheduler.lag_most,
         }
 
-    def print(self, log, scheduler):
+    def print(self, log, scheduler, beliefs):
         for group, counts in self.groups().items():
             log("count", {"group": group, **counts})
         log("count", {"group": "times_ms", **self.times.means()})
+        log("count", {"group": "beliefs", **beliefs})
         log("count", {"group": "process", **self.process(scheduler)})
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -70,7 +70,7 @@
     def serve(self):
         c, scheduler = self.configuration, self.scheduler
         Signals(scheduler, {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGHUP: self.reload,
-                            signal.SIGUSR1: lambda: self.counters.print(self.log, scheduler)})
+                            signal.SIGUSR1: lambda: self.counters.print(self.log, scheduler, self.beliefs())})
         self.gateways.listener = Listener(scheduler, c.listen, self.bounds.connections, self.gateways.accept,
                                           self.gateways.make_room)
         self.log("listening", {"address": f"{c.listen[0]}:{c.listen[1]}", **self.bounds._asdict()})
@@ -81,7 +81,7 @@
         gc.freeze()  # what lives as long as the process is not looked through again
         gc.set_threshold(GARBAGE, 10, 10)
         scheduler.run()
-        self.counters.print(self.log, scheduler)
+        self.counters.print(self.log, scheduler, self.beliefs())
         self.log("ended", {"clean": not self.failed})
         return 1 if self.failed else 0
 
@@ -93,7 +93,15 @@
     def print_counters(self):
         while True:
             self.scheduler.sleep(PRINT)
-            self.counters.print(self.log, self.scheduler)
+            self.counters.print(self.log, self.scheduler, self.beliefs())
+
+    def beliefs(self):
+        """What this server holds to be so at the moment, to be compared with what crosses the sockets."""
+        connections = self.gateways.connections
+        return {**self.core.beliefs(), "calls_out": len(self.ledger.out), "connections": len(connections),
+                "connections_in_use": sum(bool(one.open) for one in connections),
+                "report_age_s": self.scheduler.clock() - self.reporter.reported_at,
+                "link_up": int(self.link.up), "cpu_share": self.core.pace.share}
 
     def leave(self):
         if self.leave_at is None:
@@ -125,16 +133,17 @@
         """Serves on through the grace, then takes nothing new; ends when all is answered and all gateways
         have closed, so that nothing on its way is cut off, or shortly before the stop."""
         now = self.scheduler.clock
-        self.core.put(Leaving(self.stop_at - now()))
+        self.core.put(Leaving(self.stop_at - MARGIN - now()))  # the module must be done before the process is
         grace = min(self.configuration.names.settings.drain_grace, self.configuration.stop - 2 * MARGIN)
         self.scheduler.sleep(self.leave_at + grace - now())
         self.gateways.listener.close()
         self.gateways.ask_all_to_close()
         while now() < self.stop_at - MARGIN:
-            if not self.gateways.connections and not any(not sub.answered for sub in self.core.open.values()):
+            if not self.gateways.connections and not self.core.beliefs()["owed"]:
                 break
             self.scheduler.sleep(STEP)
-        self.log("drained", {"connections": len(self.gateways.connections), "open": len(self.core.open),
+        last = self.beliefs()
+        self.log("drained", {"connections": last["connections"], "owed": last["owed"],
                              "took": now() - self.leave_at})
         self.scheduler.stop()
 
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -78,6 +78,15 @@
         self.good, self.shallow, self.load, self.checks = False, True, None, {}
         self.leave, self.events, self.trace = None, [], None
 
+    def beliefs(self):
+        """How many submissions are open, owed and running, and how old the gauges are."""
+        subs, idle = self.open.values(), (IDLE, WANTED)
+        return {"open": len(subs), "owed": sum(not sub.answered for sub in subs),
+                "running": sum(sub.run not in idle for sub in subs),
+                "in_doubt": sum(sub.run == DOUBTED for sub in subs),
+                "at_calls": sum(sub.notice is not None for sub in subs),
+                "gauges_age_s": self.scheduler.clock() - self.gauged_at, "good": int(self.good)}
+
     # ---- the loop
 
     def put(self, message):
--- a/valeturn/routing/naming.py
+++ b/valeturn/routing/naming.py
@@ -15,6 +15,7 @@
         self.scheduler, self.name, self.count = scheduler, name, count
         self.backoff = Backoff(chance, 0.05, EVERY)
         self.serving = self.idle = self.again = False
+        self.reported_at = scheduler.clock()  # the last that may have counted
         self.move(address)
         self.task = scheduler.spawn(self.run, name="naming")
 
@@ -39,6 +40,7 @@
             self.again = False
             sent = self.report()
             if sent:
+                self.reported_at = self.scheduler.clock()
                 self.backoff.reset()
             if not self.again:
                 self.idle = True
