--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -130,16 +130,18 @@
     assert m.rules.credit < 0.8 + 0.05
 
 
-def test_a_silent_call_is_given_up_after_ten_usual_ones_and_a_slow_dependency_is_learnt():
-    m = model()
-    m.batch(0.1, arrive(1, FILE), arrive(2, FILE))
+@pytest.mark.parametrize("workload, means", [(READ, 10), (FILE, 24)])
+def test_a_silent_call_is_given_up_in_time_and_a_slow_dependency_is_learnt(workload, means):
+    """Sooner where the call can be made again."""
+    m = model(calls_share=20.0)
+    m.batch(0.1, arrive(1, workload), arrive(2, workload))
     first, = [a for a in m.batch(0.2, it.AtCall(1)) if isinstance(a, it.Call)]
-    assert first.wait == pytest.approx(0.25), "nothing is known yet"
+    assert first.wait == pytest.approx(means * 0.025), "nothing is known yet"
     m.batch(0.23, it.CallEnded(1, it.Outcome.DONE, 0.03))
     second, = [a for a in m.batch(0.3, it.AtCall(2)) if isinstance(a, it.Call)]
-    assert second.wait == pytest.approx(0.3)
-    m.batch(0.6, it.CallEnded(2, it.Outcome.TIMED_OUT, 0.3))
-    assert m.rules.least_wait() == pytest.approx(4 * 0.165, rel=0.05)
+    assert second.wait == pytest.approx(means * 0.03)
+    m.batch(1.1, it.CallEnded(2, it.Outcome.TIMED_OUT, 0.8))
+    assert m.rules.least_wait() == pytest.approx(4 * 0.415, rel=0.05)
 
 
 def test_a_cold_server_starts_fewer_and_none_pass_the_ceiling():
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -68,7 +68,8 @@
 BACK = 0.3  # share turned back from which reading it costs more than a level that errs (0.05 was too eager)
 SPARES = 4  # a core: more than can start within a goal, few enough to look through at each event
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
-PATIENCE = 2.5  # least waits, ten mean calls: what is silent for longer hardly ever answers, and takes credit
+# Least waits: ten mean calls, 24 where a call can't be made again; what is silent for longer hardly answers.
+PATIENCE, LAST_PATIENCE = 2.5, 6.0
 CALLS_RATE, CALLS_SAVED = 0.7, 0.25  # of the share of calls: together under 1, so no window passes it
 
 
@@ -286,7 +287,9 @@
         """Sets aside the longest that the call can stand at the dependency; what it spares comes back."""
         until = self.skip_at(sub) if self.can_skip(sub) else sub.due
         least = self.least_wait()
-        wait = max(0.01, min(until - self.now, max(least, min(PATIENCE * least, self.credit / 2))))
+        again = self.s.workloads[sub.workload].effect is Effect.IDEMPOTENT
+        most = least * (PATIENCE if again else LAST_PATIENCE)
+        wait = max(0.01, min(until - self.now, max(least, min(most, self.credit / 2))))
         sub.tries += 1
         sub.reserved = wait + self.s.call_linger
         sub.called_at, self.credit = self.now, self.credit - sub.reserved
