--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -66,6 +66,8 @@
     m.batch(0.1, *[arrive(n, FILE, left=4.9) for n in range(1, 9)])
     m.batch(0.15, woken(busy=0.3, runnable=1))
     assert kinds(m.batch(0.2, it.Ended(1, it.Outcome.DONE, 0.1))).count(it.Start) == 2
+    assert kinds(m.batch(0.21, *[it.Ended(n, it.Outcome.DONE, 0.1) for n in (3, 4)])).count(it.Start) == 2
+    assert m.rules.limit == 3.0, "by one a sweep, however many end in it"
     m.rules.limit = 6.0
     sums, calm = m.rules.runs.read(0.2), m.rules.calm.read(0.2)
     sums[8:10], calm[4:6] = (1.0, 10.0), (1.0, 3.0)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -377,6 +377,24 @@
     run(scheduler, test)
 
 
+def test_the_link_moves_twice_in_a_row_and_ends_at_the_last_address(scheduler):
+    (old, _), (second, took), (third, _) = [serve(scheduler, [WELCOME], [b""], [b""]) for _ in range(3)]
+    box = Mailbox(scheduler, 50)
+    link = ExecutorLink(scheduler, old, Chance(1), box.put, lambda *_: None)
+
+    def test():
+        while not link.up:
+            scheduler.sleep(0.01)
+        link.move(second)
+        scheduler.sleep(0.05)  # the handover waits for gauges that do not come
+        link.move(third)
+        while not link.up or link.stream.sock.getpeername() != third:
+            scheduler.sleep(0.01)
+        assert not took, "nothing new went to the address in between"
+
+    run(scheduler, test)
+
+
 @pytest.mark.parametrize("script", [[None], [b"nonsense\r\n\r\n"], [2.0], [GOOD], [GOOD[:25], None]])
 def test_reports_go_on_after_any_trouble_of_the_name_service(scheduler, script):
     address, took = serve(scheduler, script, [b"HTTP/1.1 204 OK\r\n\r\n"], [b"HTTP/1.1 204 OK\r\n\r\n"])
--- a/valeturn/routing/executor.py
+++ b/valeturn/routing/executor.py
@@ -20,7 +20,7 @@
         self.scheduler, self.address, self.put, self.count = scheduler, address, put, count
         self.backoff = Backoff(chance, 0.01, 0.5)
         self.stream, self.up, self.last, self.heard_at = None, False, 0, 0.0
-        self.next = None  # the stream to go on with
+        self.next = None  # the stream to go on with, and its address
         self.settled = self.joined = False  # all that was sent has arrived; the executor is there
         scheduler.spawn(self.run, name="executor")
 
@@ -56,7 +56,7 @@
         if address != self.address or self.next is not None or old is None or old.trouble is not None:
             made.close()  # `run` connects by itself
             return
-        self.next = made
+        self.next = made, address
         if self.up and old.write(lines.gauge(HANDOVER)):
             self.up = False
             self.scheduler.call_later(SETTLING, old.close, Trouble.TIMED_OUT)
@@ -64,11 +64,10 @@
             old.close()
 
     def connect(self):
-        made, self.next = self.next, None
-        if made is not None:
-            return made
+        """The stream of a handover, or a new one; none to an address that was moved from meanwhile."""
         address = self.address
-        made = connect(self.scheduler, address, PATIENCE)
+        made, address = self.next or (connect(self.scheduler, address, PATIENCE), address)
+        self.next = None
         if not isinstance(made, Trouble) and address != self.address:
             made.close()
             return Trouble.SHUT
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -387,7 +387,7 @@
         if slow and self.limit > self.s.cores and self.now - self.cut_at > 1.0:
             self.limit, self.cut_at = max(self.s.cores, self.limit * CUT), self.now
         elif self.cores_idle() and any(other.state == HELD for other in self.live.values()):
-            self.limit += 1
+            self.limit, self.limit_used = self.limit + 1, False  # once a sweep: a hundred runs may end in one
 
     def cores_idle(self):
         """Cores idle though the limit was used up, at the last sweep: only then would one more run help. The
