The change read again: one lookup of who is gone, one count of what is owed, no state twice

Behaviour as it was. Core.gone looks the submission up for a withdrawal and an ended connection alike; Core.owed is what the drain and the beliefs count, where each look of the drain summed up all beliefs; a wrong file on reload is the exception it was at the start, told in one place; whether a connection was asked to close is close_at alone; bodies go to base64 the way they come back; a redundant __hash__ and a second reset of 'probed' are out.

Left: http.Answer.keep is read by tests alone since each exchange has a connection of its own; its assertions stay with it.

--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -10,7 +10,7 @@
 from valeturn.protocol.frames import FrameDecoder
 from valeturn.routing import messages as msg
 from valeturn.routing.executor import ExecutorLink
-from valeturn.routing.gateways import Connection, Gateways
+from valeturn.routing.gateways import Gateways
 from valeturn.routing.ledger import Ledger
 from valeturn.routing.naming import Reporter
 from valeturn.transport.chance import Backoff, Chance
@@ -431,9 +431,6 @@
     def read(self, timeout=None):
         return self.reads.pop(0) if self.reads else Trouble.CLOSED
 
-    def send(self, *reads):
-        self.reads += reads
-
     def write(self, data):
         self.data += data
 
@@ -450,12 +447,15 @@
     workloads, tenants = {"quote": 0}, {"acme": 0}
 
 
-def connection(scheduler, *reads, sockets=384, memory_mb=64):
+def connection(scheduler, *reads):
     put = []
-    gateways = Gateways(scheduler, put.append, Known, derive(sockets, memory_mb), lambda *_: None)
-    made = Connection(gateways, Written(*reads))
-    gateways.connections[made] = None
-    return made, put
+    gateways = Gateways(scheduler, put.append, Known, derive(384, 64), lambda *_: None)
+    return accepted(gateways, Written(*reads)), put
+
+
+def accepted(gateways, stream):
+    gateways.accept(stream)
+    return list(gateways.connections)[-1]
 
 
 def test_reads_become_messages_and_the_end_of_the_connection_the_last(scheduler):
@@ -467,9 +467,9 @@
     assert put[-1].streams == {2} and not made.open and made.stream.closed
 
 
-def settle(scheduler, *then):
+def settle(scheduler):
     """Lets all tasks run until they wait."""
-    run(scheduler, lambda: scheduler.sleep(0.01), *then)
+    run(scheduler, lambda: scheduler.sleep(0.01))
 
 
 @pytest.mark.parametrize("bad, stream", [
@@ -497,7 +497,7 @@
 
 def test_more_than_may_be_open_is_turned_back_and_answers_make_room(scheduler):
     made, put = connection(scheduler)
-    submissions = [m for m in FrameDecoder().feed(b"".join(submission(n) for n in range(1, 35)))]
+    submissions = FrameDecoder().feed(b"".join(submission(n) for n in range(1, 35)))
     for one in submissions[:33]:
         made.take(one)
     assert len(made.open) == 32 and made.stream.data == frame(8, 33, b"\x00\x00")
@@ -524,14 +524,9 @@
 
 
 def staying(scheduler, *reads, gateways=None):
-    made, put = connection(scheduler)
-    gateways = gateways or made.gateways
     stream = Stays(*reads)
     stream.scheduler = scheduler
-    made = Connection(gateways, stream)
-    others = [one for one in gateways.connections if isinstance(one.stream, Stays)]
-    gateways.connections = dict.fromkeys([*others, made])
-    return made
+    return accepted(gateways or connection(scheduler)[0].gateways, stream)
 
 
 @pytest.mark.parametrize("sent, closed", [
@@ -584,8 +579,7 @@
 
 def test_the_slowest_readers_go_when_all_together_hold_too_much(scheduler):
     slow, _ = connection(scheduler)
-    quick = Connection(slow.gateways, Written())
-    slow.gateways.connections[quick] = None
+    quick = accepted(slow.gateways, Written())
     slow.gateways.bounds = slow.gateways.bounds._replace(unsent=100)
     slow.stream.unsent, quick.stream.unsent = b"x" * 90, b"x" * 20
     slow.gateways.bound_unsent()
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -37,15 +37,8 @@
 
     signals.hold(signal.SIGHUP)  # one that comes before the server listens for it must not end the process
     c = configuration.load(path=path)
-
-    def reload():
-        try:
-            return configuration.load(path=path)
-        except configuration.Wrong as wrong:
-            return str(wrong)
-
     try:
-        return Server(c, logs.set_up(c.name), verbose, reload).serve()
+        return Server(c, logs.set_up(c.name), verbose, lambda: configuration.load(path=path)).serve()
     except OSError as error:  # the address to listen on is taken or not this machine's
         print(f"valeturn: listen: {error}", file=sys.stderr)
     return 2
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -19,7 +19,7 @@
 from ..transport.scheduler import Scheduler
 from ..transport.signals import Signals
 from .bounds import derive
-from .configuration import MOVABLE, Configuration
+from .configuration import MOVABLE, Configuration, Wrong
 from .counters import Counters
 
 GARBAGE = 5000  # objects between looks for cycles, which few things here leave: some hundred KB at the most
@@ -31,7 +31,7 @@
 
 class Server:
     def __init__(self, configuration, log, verbose=False, reload=None):
-        """`reload` reads the configuration anew: a Configuration, or what is wrong with it as text."""
+        """`reload` reads the configuration anew, or raises what is wrong with it."""
         c = self.configuration = configuration
         self.read_again = reload
         self.log, self.counters = log, Counters()
@@ -113,10 +113,11 @@
     def reload(self):
         """Takes the addresses of other parties from the file; what else changed in it waits for a restart. A
         file that can't be used changes nothing."""
-        fresh = self.read_again()
-        if not isinstance(fresh, Configuration):
+        try:
+            fresh = self.read_again()
+        except Wrong as wrong:
             self.counters.add("reload.refused")
-            self.log("reload_refused", {"why": fresh})
+            self.log("reload_refused", {"why": str(wrong)})
             return
         old = self.configuration
         changed = [field for field in Configuration._fields if getattr(fresh, field) != getattr(old, field)]
@@ -139,11 +140,10 @@
         self.gateways.listener.close()
         self.gateways.ask_all_to_close()
         while now() < self.stop_at - MARGIN:
-            if not self.gateways.connections and not self.core.beliefs()["owed"]:
+            if not self.gateways.connections and not self.core.owed():
                 break
             self.scheduler.sleep(STEP)
-        last = self.beliefs()
-        self.log("drained", {"connections": last["connections"], "owed": last["owed"],
+        self.log("drained", {"connections": len(self.gateways.connections), "owed": self.core.owed(),
                              "took": now() - self.leave_at})
         self.scheduler.stop()
 
--- a/valeturn/protocol/executor.py
+++ b/valeturn/protocol/executor.py
@@ -124,7 +124,7 @@
 
 
 def _text(body):
-    return f'"{binascii.b2a_base64(body, newline=False).decode()}"'
+    return f'"{base64.b64encode(body).decode()}"'
 
 
 def join(number):
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -78,10 +78,13 @@
         self.good, self.shallow, self.load, self.checks = False, True, None, {}
         self.leave, self.events, self.trace = None, [], None
 
+    def owed(self):
+        return sum(not sub.answered for sub in self.open.values())
+
     def beliefs(self):
         """How many submissions are open, owed and running, and how old the gauges are."""
         subs, idle = self.open.values(), (IDLE, WANTED)
-        return {"open": len(subs), "owed": sum(not sub.answered for sub in subs),
+        return {"open": len(subs), "owed": self.owed(),
                 "running": sum(sub.run not in idle for sub in subs),
                 "in_doubt": sum(sub.run == DOUBTED for sub in subs),
                 "at_calls": sum(sub.notice is not None for sub in subs),
@@ -217,8 +220,7 @@
         w = self.settings.workloads[workload]
         waited = max(0.0, time.time() - s.reached)
         key = self.key_of(s, workload, w)
-        sub = Open(now, number, connection, s.stream, s.call, s.workload, w, s.body, key,
-                   s.hint)
+        sub = Open(now, number, connection, s.stream, s.call, s.workload, w, s.body, key, s.hint)
         repeats = None
         if key is not None:
             repeats = self.repeats.repeated(key, now - waited) or self.batch.get(key)
@@ -239,19 +241,16 @@
         return (workload, s.subject) if reads and s.subject is not None else None
 
     def on_withdrawal(self, now, m):
-        sub = self.by_stream.get((m.connection, m.stream))
-        if sub is not None:
-            self.gone(sub)
+        self.gone(m.connection, m.stream)
 
     def on_connection_ended(self, now, m):
         for stream in m.streams:
-            sub = self.by_stream.get((m.connection, stream))
-            if sub is not None:
-                self.gone(sub)
+            self.gone(m.connection, stream)
 
-    def gone(self, sub):
-        """Its caller left: nothing is owed, and the module hears it."""
-        if not sub.answered:
+    def gone(self, connection, stream):
+        """The caller left: nothing is owed, and the module hears it."""
+        sub = self.by_stream.get((connection, stream))
+        if sub is not None and not sub.answered:
             self.count("out.callers_gone")
             self.forget_caller(sub)
             self.events.append(it.Gone(sub.number))
@@ -310,7 +309,7 @@
     def never_ran(self, sub):
         """One that is owed its answer is the module's to start again."""
         self.count("executor.never_ran")
-        sub.ran = sub.probed = False
+        sub.ran = False
         self.run_over(sub, it.Outcome.CANCELLED, 0.0, None)
 
     def resume_runs(self):
--- a/valeturn/routing/gateways.py
+++ b/valeturn/routing/gateways.py
@@ -25,8 +25,8 @@
 class Connection:
     def __init__(self, gateways, stream):
         self.gateways, self.stream = gateways, stream
-        self.open, self.ended, self.no_more = set(), False, False
-        self.closing, self.close_at, self.faults = False, math.inf, 0
+        self.open, self.ended, self.closing, self.faults = set(), False, False, 0
+        self.close_at = math.inf  # once it was asked to close: when this side does it
         self.used_up_to, self.used = 0, set()  # streams seen: all up to the first, and those above
         # Since when it has no use; since when it waits for the rest of a frame, or None.
         self.idle_since = self.waits_since = gateways.scheduler.clock()
@@ -148,8 +148,7 @@
         """No new submission comes after this; the gateway closes when all are answered, or else this side."""
         if self.ended or self.closing:
             return
-        if not self.no_more:
-            self.no_more = True
+        if self.close_at == math.inf:
             self.stream.write(frames.no_more())
         self.close_at = min(self.close_at, self.gateways.scheduler.clock() + patience)
 
--- a/valeturn/settings.py
+++ b/valeturn/settings.py
@@ -87,8 +87,6 @@
     def __eq__(self, other):
         return isinstance(other, Names) and vars(self) == vars(other)
 
-    __hash__ = None
-
     def gauges(self, values):
         named = zip(self.gauge_names, values or ())
         return it.Gauges(**{name: value for name, value in named if name})
