--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -46,7 +46,7 @@
                 w = self.s.workloads[e.workload]
                 left = e.left if e.left is not None else w.cut_off - e.waited
                 self.subs[e.id] = dict(e=e, w=w, due=max(now, now + left), reached=now - e.waited, at="held",
-                                       ran=False, owed=True, called=False, unrun=False)
+                                       ran=False, owed=True, called=False, unrun=False, fresh=False)
             elif isinstance(e, it.Gone):
                 if self.subs[e.id]["at"] == "calling":
                     self.over(self.subs[e.id], self.s.call_linger)
@@ -54,6 +54,7 @@
                 if self.subs[e.id]["at"] in ("held", "paused", "joined"):
                     self.subs[e.id]["at"] = "over"
             elif isinstance(e, it.Ended):
+                self.subs[e.id]["fresh"] &= e.outcome is it.Outcome.UNSTORED
                 self.end(self.subs[e.id], e.outcome)
             elif isinstance(e, it.AtCall):
                 self.subs[e.id].update(at="at call", called=False)
@@ -77,7 +78,10 @@
         call[1] = min(call[1], self.now + linger)
 
     def end(self, sub, outcome):
-        if outcome is it.Outcome.CANCELLED and sub["owed"]:
+        if outcome is it.Outcome.UNSTORED:  # it never began: what the start set down is undone
+            self.ran.remove((sub["e"].subject, sub["reached"]))
+            sub.update(at="held" if sub["owed"] else "over", ran=False, fresh=False)
+        elif outcome is it.Outcome.CANCELLED and sub["owed"]:
             sub["at"] = "paused" if self.s.halting is it.Halting.PAUSE else "held"
         else:
             sub.update(at="over", owed=False)
@@ -99,7 +103,9 @@
                 key = sub["e"].subject
                 assert all(k != key or sub["reached"] - r > w.window for k, r in self.ran), "effect twice"
                 assert self.entries.get(key, (0,))[0] >= sub["reached"] + w.window, "run without an entry"
+                assert not sub["e"].room_in, "run though it can't be noted down"
                 self.ran.append((key, sub["reached"]))
+                sub["fresh"] = True
             sub.update(at="running", ran=True)
         elif isinstance(a, it.TurnBack):
             assert sub["owed"] and not (sub["ran"] and w.effect is not IDEMPOTENT), "turned back once run"
@@ -257,8 +263,8 @@
 
     def gauge(self):
         """What the executor answers to gauges asked for now: all commands before have arrived."""
-        self.core.mark += 1
-        self.turn(lines.Gauged(str(self.core.mark), (0.1, 0, 0.1, 1)))
+        self.core.runs.mark += 1
+        self.turn(lines.Gauged(str(self.core.runs.mark), (0.1, 0, 0.1, 1)))
 
 
 class Caller:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -6,6 +6,7 @@
 from valeturn import interface as it
 from valeturn.rules import Rules
 
+CALL_ENDS = [one for one in it.Outcome if one is not it.Outcome.UNSTORED]  # that is a run's
 CASES = {
     "drop": settings(),
     "pause": settings(halting=it.Halting.PAUSE),
@@ -41,20 +42,25 @@
                 waited=waited, subject=key, caller=chance.randrange(2), memory=chance.uniform(2, 30),
                 left=chance.choice((None, chance.uniform(0.0, 3.0))),
                 repeats=model.first_try(key, now - waited) if same else None,
-                cost_hint=chance.choice((None, chance.uniform(0.01, 2.0)))))
+                cost_hint=chance.choice((None, chance.uniform(0.01, 2.0))),
+                room_in=chance.choice((0.0, 0.0, 0.0, 0.3, 9.0)) if same else 0.0))
             if same:  # two tries that come in one batch would know of each other; here one a batch is enough
                 break
         for number_of, sub in list(model.subs.items()):
             at, roll = sub["at"], chance.random()
             if at == "running" and not sub["owed"] or at == "spent":
-                if roll < 0.1:
+                if sub["fresh"] and roll < 0.3:
+                    events.append(it.Ended(number_of, it.Outcome.UNSTORED, 0.0))
+                elif roll < 0.1:
                     events.append(it.Ended(number_of, it.Outcome.CANCELLED, 0.1))
+            elif at == "running" and sub["fresh"] and roll < 0.1:
+                events.append(it.Ended(number_of, it.Outcome.UNSTORED, 0.0))
             elif at == "running" and roll < (0.0 if hung and now < 8 else 0.02):
                 events.append(it.Ended(number_of, chance.choice((it.Outcome.DONE, it.Outcome.ERROR)), 0.2))
             elif at == "running" and sub["w"].calls and roll < 0.04:
                 events.append(it.AtCall(number_of))
             elif at == "calling" and roll < 0.05:
-                events.append(it.CallEnded(number_of, chance.choice(list(it.Outcome)), 0.1))
+                events.append(it.CallEnded(number_of, chance.choice(CALL_ENDS), 0.1))
             elif at == "joined" and model.subs[sub["e"].repeats]["at"] == "over":
                 events.append(it.Ended(number_of, it.Outcome.DONE, 0.0))
             elif at != "over" and sub["owed"] and roll > 0.998:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -93,7 +93,7 @@
 
 
 def test_the_command_line_says_what_it_can_and_what_is_wrong(tmp_path):
-    assert command("version").stdout == "valeturn 0.2.0\n" and "serve" in command("--help").stdout
+    assert command("version").stdout == "valeturn 0.3.0\n" and "serve" in command("--help").stdout
     assert command("check", "examples/config.json").returncode == 0
     bad = tmp_path / "bad.json"
     bad.write_text("{")
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -14,6 +14,7 @@
 from valeturn.rules import Rules
 
 DELIVERED, TURNED_BACK, WRITTEN_OFF = 1, 0, 9
+CALL_ENDS = [one for one in it.Outcome if one is not it.Outcome.UNSTORED]  # that is a run's
 JOINED = lines.Gauged(REPLAY_END, ())
 
 
@@ -404,7 +405,7 @@
         ends.later.clear()
         while ends.calls and chance.random() < 0.5:
             who, attempt, *_ = ends.calls.pop()
-            events.append(msg.CallOver(who, attempt, chance.choice(list(it.Outcome)), 0.1, b"said"))
+            events.append(msg.CallOver(who, attempt, chance.choice(CALL_ENDS), 0.1, b"said"))
         ends.turn(*events)
         if step % 10 == 9 and ends.up:
             ends.gauge()
--- a/valeturn/interface.py
+++ b/valeturn/interface.py
@@ -37,6 +37,7 @@
     RESET = "cut off, may have had its effect"
     CANCELLED = "stopped"
     MOOT = "was over before it started"
+    UNSTORED = "never begun, as it could not be noted down first"
 
 
 class Workload(NamedTuple):
@@ -106,6 +107,7 @@
     left: float | None = None  # until its caller gives up
     repeats: int | None = None
     cost_hint: float | None = None
+    room_in: float = 0.0  # until a repeat of it could be told apart; 0: now
 
 
 class Ended(NamedTuple):
--- a/valeturn/program/bounds.py
+++ b/valeturn/program/bounds.py
@@ -19,11 +19,12 @@
     results: int  # bytes of results kept for repeats
 
 
-def derive(sockets, memory_mb):
-    """Of the memory beside the process itself connections get what they take; of what is left submissions and
-    unsent answers a third each, results a sixth; the rest is for the allocator's gaps."""
+def derive(sockets, memory_mb, taken_mb=0.0):
+    """taken_mb: what the operator's file gives to subsystems, and their libraries. Of the memory beside the
+    process itself connections get what they take; of what is left submissions and unsent answers a third
+    each, results a sixth; the rest is for the allocator's gaps."""
     calls = max(8, int(CALLS * (sockets - OTHERS)))
-    free = max(4.0, memory_mb - PROCESS) * 1024 * 1024
+    free = max(4.0, memory_mb - PROCESS - taken_mb) * 1024 * 1024
     connections = max(8, min(sockets - OTHERS - calls, int(0.4 * free / CONNECTION)))
     left = free - connections * CONNECTION
     submissions = max(64, int(left / 3 / SUBMISSION))
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -2,24 +2,41 @@
 
 Usage:
   valeturn
-  valeturn serve [--config FILE] [--verbose]
-  valeturn check [FILE]
+  valeturn serve [--config FILE] [--settings FILE] [--verbose]
+  valeturn check [FILE] [--settings FILE]
+  valeturn store (inspect | verify | compact) DIR
+  valeturn lab restarts [--kills N] [--seed S] [--lanes L] [--keep DIR]
+  valeturn lab store [--keys N] [--folder DIR]
   valeturn version
   valeturn --help
 
 Commands:
   serve      Serve until SIGTERM, which drains. The same as no command. SIGUSR1 prints the counters.
              SIGHUP takes new addresses of executor, ledger and name service from the file.
-  check      Read and check a configuration, and say in one line what is wrong with it.
+  check      Read and check a configuration, and say in one line what is wrong with it; with --settings the
+             operator's file too, with a line for each thing that is wrong.
+  store      Of a folder of kept results: what is in it; whether all of it is whole; write it anew without
+  what
+             is over. The server must not be running on it for the last.
+  lab        The laboratory: `restarts` kills and restarts a server on loopback and counts effects; `store`
+             measures the store beside plain sqlite3.
   version    Print the version.
 
 Options:
-  --config FILE  The configuration; else the variable EDGE_CONFIG names it.
-  --verbose      Log each answer with its call, workload, kind and time.
-  -h --help      Show this.
+  --config FILE    The configuration; else the variable EDGE_CONFIG names it.
+  --settings FILE  The operator's own file (deploy/valeturn.ini has all it may hold).
+  --verbose        Log each answer with its call, workload, kind and time.
+  --kills N        How often the server is killed [default: 50].
+  --seed S         For all chance [default: 1].
+  --lanes L        Servers killed side by side, each with parties of its own [default: 4].
+  --keep DIR       Keep the logs and folders there.
+  --keys N         Keys to store [default: 100000].
+  --folder DIR     Where to measure; else a temporary one.
+  -h --help        Show this.
 
 EDGE_NAME and EDGE_LISTEN, where set, go before the configuration's name and listen.
-Exit codes: 0 all well, 1 failed while serving, 2 the configuration or the command line is wrong.
+Exit codes: 0 all well, 1 failed while serving, or damage or a broken rule was found, 2 the configuration, the
+operator's file or the command line is wrong, or another process has the store.
 """
 
 from __future__ import annotations
@@ -32,22 +49,44 @@
 from . import configuration, logs
 
 
-def serve(path=None, verbose=False):
+def operators_file(path, c):
+    """What the operator's file says, or None where there is none; without one none of its code is loaded."""
+    if path is None:
+        return None
+    from ..options import sections
+
+    try:
+        return sections.load(path, c.memory_mb)
+    except sections.Unusable as unusable:
+        raise configuration.Wrong(str(unusable)) from None
+
+
+def serve(path=None, verbose=False, settings=None, files=None):
+    """files: the store's way to the disk, in place of the real one; the laboratory's."""
     from .server import Server
 
     signals.hold(signal.SIGHUP)  # one that comes before the server listens for it must not end the process
     c = configuration.load(path=path)
+    options = operators_file(settings, c)
+
+    def again():
+        fresh = configuration.load(path=path)
+        return fresh, operators_file(settings, fresh)
+
     try:
-        return Server(c, logs.set_up(c.name), verbose, lambda: configuration.load(path=path)).serve()
+        return Server(c, logs.set_up(c.name), verbose, again, options, files).serve()
     except OSError as error:  # the address to listen on is taken or not this machine's
         print(f"valeturn: listen: {error}", file=sys.stderr)
     return 2
 
 
-def check(path=None):
+def check(path=None, settings=None):
     c = configuration.load(path=path)
+    options = operators_file(settings, c)
     s = c.names.settings
     print(f"good: name={c.name} workloads={len(s.workloads)} tenants={len(s.tenants)} cores={s.cores}")
+    if options is not None:
+        print(f"good: {settings}: {' '.join(sorted(options.sections)) or 'nothing is switched on'}")
     return 0
 
 
@@ -55,7 +94,8 @@
     try:
         return carry_out(words)
     except configuration.Wrong as wrong:
-        print(f"valeturn: {wrong}", file=sys.stderr)
+        for line in str(wrong).splitlines():
+            print(f"valeturn: {line}", file=sys.stderr)
         return 2
 
 
@@ -73,5 +113,13 @@
         print(f"valeturn {__version__}")
         return 0
     if given["check"]:
-        return check(given["FILE"])
-    return serve(given["--config"], given["--verbose"])
+        return check(given["FILE"], given["--settings"])
+    if given["store"] and not given["lab"]:
+        from ..store.commands import main as store
+
+        return store(next(what for what in ("inspect", "verify", "compact") if given[what]), given["DIR"])
+    if given["lab"]:
+        from ..lab.commands import main as lab
+
+        return lab(given)
+    return serve(given["--config"], given["--verbose"], given["--settings"])
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -10,7 +10,7 @@
 from ..routing.executor import ExecutorLink
 from ..routing.gateways import Gateways
 from ..routing.ledger import Ledger
-from ..routing.messages import Leaving
+from ..routing.messages import DiskNews, Leaving
 from ..routing.naming import Reporter
 from ..routing.pace import Pace
 from ..rules import Rules
@@ -18,6 +18,7 @@
 from ..transport.listener import Listener
 from ..transport.scheduler import Scheduler
 from ..transport.signals import Signals
+from ..transport.streams import Stream
 from .bounds import derive
 from .configuration import MOVABLE, Configuration, Wrong
 from .counters import Counters
@@ -27,11 +28,36 @@
 MARGIN = 0.15  # s before the stop at which the process ends itself: the last answers are out by then
 LOOK = 0.05  # s between looks at all connections: half of the shortest patience with one
 STEP = 0.02  # s between looks while draining
+CLOSING = 1.0  # s that the store has at the end for what still waits for the disk
+LIBRARIES_MB = 13  # that an operator's file takes: the grammar's 11, the store's two
+
+
+def open_store(scheduler, options, files, names, put, count, log):
+    """Loads and opens the store. Raises Wrong where its folder can't be used."""
+    from ..store import bounds, clock
+    from ..store.files import Files
+    from ..store.helper import Helper
+    from ..store.kept import Kept
+    from ..store.recovery import Refused
+
+    files = files or Files(options.folder)
+    boot_id = clock.boot_id()
+    limits = bounds.derive(options.disk, options.memory, options.segment)
+    longest = max([w.window for w in names.settings.workloads], default=0.0) + 2 * names.settings.tick
+    try:
+        if not files.prepare():
+            raise Wrong(f"store: {options.folder}: another process has it")
+        kept = Kept(options, limits, files, Helper(), lambda: clock.read(boot_id), longest, count, log)
+    except (Refused, OSError) as error:
+        raise Wrong(f"store: {options.folder}: {error}") from None
+    log("store_opened", {**kept.figures(), "records_read": kept.found.records})
+    return kept
 
 
 class Server:
-    def __init__(self, configuration, log, verbose=False, reload=None):
-        """`reload` reads the configuration anew, or raises what is wrong with it."""
+    def __init__(self, configuration, log, verbose=False, reload=None, options=None, files=None):
+        """`reload` reads the configuration and the operator's file anew, or raises what is wrong with
+        them."""
         c = self.configuration = configuration
         self.read_again = reload
         self.log, self.counters = log, Counters()
@@ -41,13 +67,17 @@
         put = lambda message: self.core.put(message)  # noqa: E731
         self.link = ExecutorLink(scheduler, c.executor, chance, put, count)
         sockets = min(c.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        bounds = self.bounds = derive(sockets, c.memory_mb)
+        self.options = options
+        store = options.get("store") if options is not None else None
+        taken = (LIBRARIES_MB if options else 0.0) + (store.memory / 1e6 if store else 0.0)
+        bounds = self.bounds = derive(sockets, c.memory_mb, taken)
+        self.kept = None if store is None else open_store(scheduler, store, files, c.names, put, count, log)
         self.ledger = Ledger(scheduler, c.ledger, bounds.calls, put, count)
         self.gateways = Gateways(scheduler, put, c.names, bounds, count)
         self.reporter = Reporter(scheduler, c.naming, c.name, chance, count)
         self.core = Core(scheduler, c.names, bounds, Pace(scheduler.clock, c.cores), self.make_rules,
                          self.link, self.ledger, self.gateways, self.reporter, count,
-                         self.counters.times, log)
+                         self.counters.times, log, self.kept)
         self.core.trace = log if verbose else None
         self.leave_at = self.stop_at = None
 
@@ -77,6 +107,8 @@
         scheduler.spawn(self.core.run, name="core", late=True)
         scheduler.spawn(self.sweep, name="sweep")
         scheduler.spawn(self.print_counters, name="counters")
+        if self.kept is not None:
+            scheduler.spawn(self.hear_the_disk, name="disk")
         gc.collect()
         gc.freeze()  # what lives as long as the process is not looked through again
         gc.set_threshold(GARBAGE, 10, 10)
@@ -85,6 +117,12 @@
         self.log("ended", {"clean": not self.failed})
         return 1 if self.failed else 0
 
+    def hear_the_disk(self):
+        """Tells the owner of the module that the store's helper has done something."""
+        stream = Stream(self.scheduler, self.kept.helper.end)
+        while isinstance(stream.read(), bytes):
+            self.core.put(DiskNews())
+
     def sweep(self):
         while True:
             self.gateways.sweep()
@@ -101,7 +139,8 @@
         return {**self.core.beliefs(), "calls_out": len(self.ledger.out), "connections": len(connections),
                 "connections_in_use": sum(bool(one.open) for one in connections),
                 "report_age_s": self.scheduler.clock() - self.reporter.reported_at,
-                "link_up": int(self.link.up), "cpu_share": self.core.pace.share}
+                "link_up": int(self.link.up), "cpu_share": self.core.pace.share,
+                **({} if self.kept is None else {"kept_" + k: v for k, v in self.kept.figures().items()})}
 
     def leave(self):
         if self.leave_at is None:
@@ -114,7 +153,7 @@
         """Takes the addresses of other parties from the file; what else changed in it waits for a restart. A
         file that can't be used changes nothing."""
         try:
-            fresh = self.read_again()
+            fresh, options = self.read_again()
         except Wrong as wrong:
             self.counters.add("reload.refused")
             self.log("reload_refused", {"why": str(wrong)})
@@ -126,6 +165,8 @@
         self.link.move(self.configuration.executor)
         self.ledger.move(self.configuration.ledger)
         self.reporter.move(self.configuration.naming)
+        if options != self.options:
+            changed.append("settings")
         self.counters.add("reload.taken")
         self.log("reloaded", {"moved": ",".join(moved) or "nothing",
                               "wants_restart": ",".join(f for f in changed if f not in moved) or "nothing"})
@@ -146,4 +187,7 @@
         self.log("drained", {"connections": len(self.gateways.connections), "owed": self.core.owed(),
                              "took": now() - self.leave_at})
         self.scheduler.stop()
+        if self.kept is not None:
+            left = max(0.01, self.stop_at - MARGIN / 2 - now())
+            self.log("store_closed", {"whole": self.kept.close(min(CLOSING, left)), **self.kept.figures()})
 
--- a/valeturn/routing/messages.py
+++ b/valeturn/routing/messages.py
@@ -48,6 +48,10 @@
     """The executor no longer keeps some that were not read."""
 
 
+class DiskNews(NamedTuple):
+    """The store's helper has done something."""
+
+
 class CallOver(NamedTuple):
     number: int  # of the submission
     attempt: int
--- a/valeturn/routing/repeats.py
+++ b/valeturn/routing/repeats.py
@@ -38,6 +38,13 @@
         self.size += ENTRY
         return True
 
+    def room_in(self, now, more):
+        """Seconds until so many more entries may find room; 0 where they do now."""
+        if self.size + more * ENTRY <= self.most:
+            return 0.0
+        ends = min((entry.until for entry in self.by_number.values()), default=now)
+        return max(0.1, ends + UNREAD - now)
+
     def ended(self, number, result):
         """result is None where the run failed, or never was."""
         entry = self.by_number.get(number)
--- /dev/null
+++ b/valeturn/routing/runs.py
@@ -0,0 +1,246 @@
+"""Runs and calls of open submissions: what was sent, what is known to have arrived, and what is in doubt.
+
+Decides nothing. The executor reads commands in order, so gauges that were asked for after a start prove that
+it arrived; what was sent on a link that broke and is not proved is in doubt until something proves it.
+"""
+
+from __future__ import annotations
+
+from .. import interface as it
+from ..protocol import executor as lines
+from . import messages as msg
+from .executor import REPLAY_END
+from .open import DOUBTED, IDLE, NOTED, REACHED, SENT, UNSENT, WANTED, Reply
+
+# A run in doubt has this many times its hinted work, and so many seconds on top, to be heard of: most runs
+# end sooner, and what is told to stop when it does run is lost.
+DOUBT, DOUBT_LEAST = 3.0, 0.1
+
+ENDS = {lines.End.DONE: it.Outcome.DONE, lines.End.FAILED: it.Outcome.ERROR,
+        lines.End.STOPPED: it.Outcome.CANCELLED, lines.End.NOTHING: it.Outcome.MOOT}
+
+
+class Runs:
+    def __init__(self, core):
+        self.core = core
+        self.gauges, self.gauged_at, self.mark, self.seen_mark = (), -1.0, 0, 0
+        self.asked_at = 0.0
+
+    def ask_gauges(self, now):
+        self.mark += 1
+        self.asked_at = now
+        self.core.link.send(lines.gauge(str(self.mark)))
+
+    def on_link_down(self, now, m):
+        for sub in self.core.open.values():
+            if sub.run == SENT:
+                sub.run = REACHED if sub.sent_at < m.arrived else DOUBTED
+            if sub.reply is not None and sub.reply.sent and sub.reply.at < m.arrived:
+                sub.reply = None
+
+    def on_notices_missed(self, now, m):
+        """An end may be among them."""
+        for sub in self.core.open.values():
+            if sub.run in (SENT, REACHED):
+                sub.run = DOUBTED
+
+    def on_gauged(self, now, m):
+        if m.mark == REPLAY_END:
+            self.resume_runs()
+            return
+        self.gauges, self.gauged_at = m.values, now
+        self.core.times.add("gauge", now - self.asked_at)
+        # Commands are read in order: what was sent before these gauges were asked for has arrived there.
+        self.seen_mark = int(m.mark) if m.mark.isdigit() else self.seen_mark
+        doubted = []
+        for sub in self.core.open.values():
+            if sub.run == SENT and sub.sent_mark < self.seen_mark:
+                sub.run = REACHED
+            if sub.reply is not None and sub.reply.mark < self.seen_mark:
+                sub.reply = None
+            if sub.run == DOUBTED and (sub.answered or sub.probed) and self.surely_not_running(sub):
+                doubted.append(sub)
+        for sub in doubted:
+            self.never_ran(sub)
+
+    def surely_not_running(self, sub):
+        """The executor was told to stop it and has told of no end since, so there was no run. Where work
+        can't be stopped, the caller's time being up has to do."""
+        if self.core.settings.halting is it.Halting.OFF:
+            return True
+        return sub.halted is not None and sub.halted < self.seen_mark
+
+    def never_ran(self, sub):
+        """One that is owed its answer is the module's to start again."""
+        self.core.count("executor.never_ran")
+        sub.ran = False
+        self.core.repeating.never_began(sub)
+        self.run_over(sub, it.Outcome.CANCELLED, 0.0, None)
+
+    def resume_runs(self):
+        """After a join, when all missed notices were read: sends again what may be sent again. What must not
+        run twice and is not heard of in the time that it should take is told to stop: no end means no run."""
+        now = self.core.scheduler.clock()
+        for sub in list(self.core.open.values()):
+            if sub.run == WANTED or sub.run == DOUBTED and sub.w.effect is it.Effect.IDEMPOTENT:
+                self.send_start(sub)
+            elif sub.run == DOUBTED:
+                self.core.count("executor.doubts")
+                wait = sub.sent_at + DOUBT_LEAST + DOUBT * (sub.hint or 0.0) - now
+                self.core.scheduler.call_later(wait, self.core.mailbox.push, msg.Doubt(sub.number))
+            if sub.reply is not None:
+                reply = sub.reply
+                self.core.link.send(reply.instead if reply.sent and reply.instead else reply.line)
+            if sub.halting:
+                self.send_halt(sub)
+
+    def on_doubt(self, now, m):
+        sub = self.core.open.get(m.number)
+        can = self.core.settings.halting is not it.Halting.OFF
+        if sub is not None and sub.run == DOUBTED and not sub.halting and can:
+            sub.probed = sub.halting = True
+            self.send_halt(sub)
+
+    def on_run_over(self, now, m):
+        sub = self.core.by_call.get(m.call)
+        if sub is None or sub.run in UNSENT:
+            if not self.core.repeating.told(m.call, ENDS[m.end], m.result):
+                self.core.count("executor.run_of_none")
+            return
+        outcome = ENDS[m.end]
+        if outcome is it.Outcome.CANCELLED and sub.probed and self.core.settings.halting is it.Halting.DROP:
+            outcome = it.Outcome.ERROR  # it did run, and what it did is lost
+        if outcome is it.Outcome.CANCELLED and not sub.halting and not sub.answered:
+            # Ended unasked: its caller has gone, though nobody said so. One answer does no harm.
+            self.core.events.append(it.Gone(sub.number))
+            self.core.answer(sub, "unasked_end")
+        self.run_over(sub, outcome, m.took, m.result)
+
+    def run_over(self, sub, outcome, took, result):
+        self.core.count("run." + outcome.name.lower())
+        if outcome is it.Outcome.MOOT:
+            self.core.repeating.never_began(sub)
+        self.core.ledger.give_up(sub.number)
+        sub.run, sub.notice, sub.reply = IDLE, None, None
+        sub.halting, sub.halted, sub.probed = False, None, False
+        self.core.events.append(it.Ended(sub.number, outcome, took))
+        if outcome is it.Outcome.DONE:
+            self.core.answer(sub, "delivered", result)
+        elif outcome is not it.Outcome.CANCELLED:
+            self.core.answer(sub, "written_off")
+        if outcome is not it.Outcome.CANCELLED or sub.answered:
+            self.core.repeating.end_joiners(sub, result if outcome is it.Outcome.DONE else None)
+            self.core.drop(sub)
+
+    def on_call_wanted(self, now, m):
+        sub = self.core.by_call.get(m.call)
+        if sub is None or sub.run in UNSENT:
+            self.core.count("executor.call_of_none")
+            if sub is None and self.core.repeating.kept is not None:
+                self.end_orphan(m)
+            return
+        sub.run, sub.notice, sub.reply = REACHED, (m.number, m.body), None
+        sub.attempt += 1
+        self.core.count("executor.calls_wanted")
+        self.core.events.append(it.AtCall(sub.number))
+
+    def end_orphan(self, m):
+        """A run from before a restart stands at its call, which may have been made: it is never made again.
+        The run goes on without it where that is allowed, else it is stopped."""
+        workload = self.core.repeating.unsettled(m.call)
+        index = self.core.names.workloads.get(workload)
+        self.core.count("executor.orphans")
+        if index is not None and self.core.settings.workloads[index].poorer_share > 0:
+            self.core.link.send(lines.go_without(m.call, m.number))
+        elif self.core.settings.halting is not it.Halting.OFF:
+            self.core.link.send(lines.halt(m.call))
+
+    def on_call_over(self, now, m):
+        sub = self.core.open.get(m.number)
+        if sub is None or sub.notice is None or sub.attempt != m.attempt:
+            self.core.count("ledger.reply_of_none")
+            return
+        if m.outcome is it.Outcome.DONE:
+            self.send_reply(sub, lines.reply(sub.call, m.body))
+        self.core.events.append(it.CallEnded(m.number, m.outcome, m.took))
+
+    def send_reply(self, sub, line):
+        """Kept until the executor is known to have it. A reply that may have come through before a link broke
+        must not meet the run's next call: going on without this one names its notice and can't."""
+        instead = lines.go_without(sub.call, sub.notice[0]) if sub.w.poorer_share > 0 else None
+        sent = self.core.link.send(line)
+        sub.reply, sub.notice = Reply(self.mark, self.core.scheduler.clock(), line, instead, sent), None
+        sub.attempt += 1
+
+    def on_not_carried_out(self, now, m):
+        """The executor was never sent what is to be run: whoever sent it to us made it up."""
+        self.core.count("executor.bad." + m.command.lower())
+        sub = self.core.by_call.get(m.call)
+        if sub is not None and m.command == "EXEC" and sub.run not in UNSENT:
+            connection = sub.connection
+            self.run_over(sub, it.Outcome.MOOT, 0.0, None)
+            connection.refuse_connection("made up")
+
+    def do_start(self, now, a):
+        sub = self.core.open.get(a.id)
+        if sub is None or sub.answered or sub.run != IDLE:
+            if sub is None:  # over already: the module hears that nothing was started
+                self.core.put_later(msg.Told(it.Ended(a.id, it.Outcome.MOOT, 0.0)))
+            return
+        self.send_start(sub)
+
+    def send_start(self, sub):
+        """Deduplicated work first goes to the disk, where there is a store: `on_noted` comes back to this."""
+        if self.core.repeating.note_first(sub):
+            sub.run = NOTED
+            return
+        sent = self.core.link.send(lines.start(sub.call, sub.workload, sub.body))
+        sub.run, sub.ran, sub.sent_mark = SENT if sent else WANTED, sub.ran or sent, self.mark
+        sub.sent_at = self.core.scheduler.clock()
+
+    def do_halt(self, now, a):
+        sub = self.core.open.get(a.id)
+        if sub is None or sub.run == IDLE:
+            return
+        if sub.run in (WANTED, NOTED):  # never sent
+            sub.run = IDLE
+            self.core.repeating.never_began(sub)
+            self.core.put_later(msg.Told(it.Ended(a.id, it.Outcome.CANCELLED, 0.0)))
+            if sub.answered:
+                self.core.drop(sub)
+            return
+        sub.halting = True
+        self.send_halt(sub)
+
+    def send_halt(self, sub):
+        sub.halted = self.mark if self.core.link.send(lines.halt(sub.call)) else None
+
+    def do_call(self, now, a):
+        sub = self.core.open.get(a.id)
+        if sub is not None and sub.notice is not None:
+            sub.attempt += 1
+            self.core.count("out.calls")
+            self.core.ledger.call(sub.number, sub.attempt, sub.call, a.wait, sub.notice[1])
+
+    def do_go_without(self, now, a):
+        sub = self.core.open.get(a.id)
+        if sub is not None and sub.notice is not None:
+            self.core.count("out.without_call")
+            self.core.ledger.give_up(sub.number)
+            self.send_reply(sub, lines.go_without(sub.call, sub.notice[0]))
+
+    def on_noted(self, number):
+        """Its intent is durable."""
+        sub = self.core.open.get(number)
+        if sub is not None and sub.run == NOTED:
+            sub.noted = True
+            self.send_start(sub)
+
+    def not_noted(self, number):
+        """It can't be made durable: it never runs, and the module hears why."""
+        sub = self.core.open.get(number)
+        if sub is not None and sub.run == NOTED:
+            sub.run = IDLE
+            self.core.events.append(it.Ended(number, it.Outcome.UNSTORED, 0.0))
+            if sub.answered:
+                self.core.drop(sub)
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -17,7 +17,7 @@
 HELD, RUNNING, AT_CALL, CALLING, PAUSED, JOINED, SPENT, OVER = range(8)
 # Inputs.
 (START, ENDED, STOPPED, CALLS, CALL_OUT, SKIP, CALL_DONE, CALL_UNRUN, CALL_MAYBE, GONE, GIVE_UP, HALT,
- JOIN) = range(13)
+ JOIN, UNBEGUN) = range(14)
 
 # (state, input) -> (next state, effect). A pair that is missing is harmless: an event of a submission that is
 # over, or an input that its state cannot meet; it changes nothing.
@@ -50,6 +50,8 @@
     (CALLING, GONE): (SPENT, None),
     (CALLING, ENDED): (OVER, None),
     (SPENT, ENDED): (OVER, None),
+    (RUNNING, UNBEGUN): (OVER, "turn_back"),  # it could not be noted down, so it was not started after all
+    (SPENT, UNBEGUN): (OVER, "forget"),
 }
 ON_CORES = (RUNNING, SPENT)
 CALL_INPUT = {
@@ -172,7 +174,7 @@
             id=e.id, workload=e.workload, tenant=e.tenant, memory=e.memory, repeats=e.repeats, seq=self.seq,
             told=e.left is not None, retry=e.retry, hint=hint, cost=cost, progress=0.0,  # work, and done
             reached=self.now - e.waited, due=due, goal_by=min(self.now - e.waited - age + goal, due),
-            state=HELD, ran=False, owed=True, spare=False, since=self.now,  # since when it runs
+            state=HELD, ran=False, owed=True, spare=False, since=self.now, room_in=e.room_in,
             tries=0, called=0.0, called_at=0.0, reserved=0.0)  # its calls: tries, time in all, the one out
         self.door.add(self.now, 0, 1, 0, e.waited)
         self.live[sub.id] = sub
@@ -188,6 +190,10 @@
     def on_ended(self, sub, e):
         if e.outcome is Outcome.CANCELLED and self.step(sub, STOPPED):
             return
+        if e.outcome is Outcome.UNSTORED:
+            sub.ran = False
+            self.step(sub, UNBEGUN)
+            return
         if sub.state in ON_CORES and e.outcome is Outcome.DONE:  # given up or not, or a stall is never seen
             self.learn(sub)
         self.step(sub, ENDED)
@@ -246,7 +252,8 @@
         # The more is turned back, the longer callers should choose others: quick answers draw those that look
         # for the quickest server, or the least busy one, to the one that turns most back.
         away = 1.0 if self.stop_at is not None or self.local_trouble() else back / max(read, back)
-        self.out.append(TurnBack(sub.id, away * self.s.longest_advice, self.stop_at is None))
+        away = max(away * self.s.longest_advice, min(sub.room_in, self.s.longest_advice))
+        self.out.append(TurnBack(sub.id, away, self.stop_at is None))
 
     def do_refuse_repeat(self, sub):
         first = self.live.get(sub.repeats)
@@ -422,7 +429,7 @@
     def remember(self, sub, w):
         lasting = w.window - (self.now - sub.reached) if w.effect is Effect.DEDUPLICATED else (
             self.s.fresh_for + max(0.0, sub.due - self.now))
-        room = self.memory() + self.s.key_memory <= MEMORY_RUN * self.s.memory
+        room = not sub.room_in and self.memory() + self.s.key_memory <= MEMORY_RUN * self.s.memory
         if room and lasting > 0:
             lasting += 2 * self.s.tick
             self.keys[sub.id] = self.now + lasting
--- /dev/null
+++ b/valeturn/store/commands.py
@@ -0,0 +1,130 @@
+"""`valeturn store inspect|verify|compact DIR`: a folder looked at without a server on it, or beside one."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from . import bounds, clock, files as names, records
+from .entry import STATES
+from .files import Files
+from .helper import Inline
+from .kept import Kept
+from .opening import open_folder
+from .recovery import Refused
+from .upkeep import UNREAD
+
+
+class Plain:
+    """What Kept asks of the operator's file."""
+
+    retry = 1.0
+
+
+def main(what, folder):
+    if not os.path.isdir(folder):
+        print(f"valeturn: {folder}: no such folder", file=sys.stderr)
+        return 2
+    try:
+        return {"inspect": inspect, "verify": verify, "compact": compact}[what](folder)
+    except (Refused, OSError) as error:
+        print(f"valeturn: {folder}: {error}", file=sys.stderr)
+        return 2
+
+
+def _open(folder):
+    moment = clock.read(clock.boot_id())
+    opened = open_folder(Files(folder), moment, may_make=False)
+    return opened, clock.resume(opened.found.stamp, moment)
+
+
+def inspect(folder):
+    """Reads alone, so it may be used beside a server; what that one is writing just then may look torn."""
+    opened, now = _open(folder)
+    found, states, ended = opened.found, dict.fromkeys(STATES, 0), 0
+    for shard in range(len(found.index.shards)):
+        for row in found.index.rows(shard):
+            if row.until + UNREAD > now:
+                states[STATES[row.state]] += 1
+            else:
+                ended += 1
+    print(
+        f"keys={found.index.count} "
+        + " ".join(f"{k}={n}" for k, n in states.items() if n)
+        + f" ended={ended}"
+    )
+    print(
+        f"segments={len(found.segments)} log_mb={sum(s.size for s in found.segments.values()) / 1e6:.3f}"
+        f" snapshot_mb={opened.snapshot_size / 1e6:.3f} set_aside={len(opened.set_aside)}"
+    )
+    print(
+        f"longest_window={found.longest:g} s unsure_for={max(0.0, found.unsure - now):.1f} s"
+        f" unsettled={len(found.unsettled)} passed_over={found.passed_over}"
+    )
+    for event, fields in found.notes:
+        print(event, " ".join(f"{key}={value}" for key, value in fields.items()))
+    return 0
+
+
+def verify(folder):
+    """Reads every byte of every segment, those before the snapshot too. 1 where something is not whole."""
+    opened, _ = _open(folder)
+    files, bad = Files(folder), []
+    if opened.snapshot_bad:
+        bad.append(f"snapshot: {opened.snapshot_bad}")
+    bad += [f"segment {number}: {why}" for number, why in opened.found.damaged]
+    seen = {number for number, _ in opened.found.damaged}
+    frames = count = 0
+    for number in sorted(opened.found.segments):
+        data, at = files.read(names.name(number)), len(records.MAGIC)
+        while (frame := records.frame_at(data, at, number)) is not None:
+            frames += 1
+            for offset, size, _ in records.decode(frame.payload):
+                start = frame.offset + offset
+                if records.one(data[start : start + size]) is None:
+                    bad.append(f"segment {number}: the record at {start} is damaged")
+                count += 1
+            at = frame.end
+        ends = dict(opened.found.ends)
+        if at < min(ends.get(number, at), len(data)) and number not in seen:
+            bad.append(f"segment {number}: damaged at {at} of {len(data)} bytes")
+        elif at < len(data) and number not in seen:
+            print(f"segment {number}: {len(data) - at} bytes behind {at} were never durable")
+    for line in bad:
+        print(line)
+    print(
+        f"{'damaged' if bad else 'whole'}: segments={len(opened.found.segments)} frames={frames} records={count}"
+    )
+    return 1 if bad else 0
+
+
+def compact(folder):
+    """Writes what is still in its window into a new log, then drops the old one; a server may not run on
+    it."""
+    files = Files(folder)
+    if not files.prepare():
+        print(f"valeturn: {folder}: another process has it", file=sys.stderr)
+        return 2
+    boot_id = clock.boot_id()
+    before = sum(files.size(file) for file in files.names())
+    open_folder(files, clock.read(boot_id), may_make=False)
+    said = []
+    limits = bounds.derive(1 << 60, 1 << 40, 4_000_000)
+    kept = Kept(
+        Plain,
+        limits,
+        files,
+        Inline(),
+        lambda: clock.read(boot_id),
+        0.0,
+        lambda *_: None,
+        lambda event, fields: said.append((event, fields)),
+    )
+    kept.collect()
+    kept.compact_all()
+    done = kept.close(60.0)
+    after = sum(Files(folder).size(file) for file in Files(folder).names())
+    print(
+        f"{'done' if done else 'failed'}: keys={kept.index.count} bytes_before={before} bytes_after={after}"
+    )
+    return 0 if done else 1
--- /dev/null
+++ b/valeturn/store/journal.py
@@ -0,0 +1,86 @@
+"""What the helper does to the folder: each function one job. Nothing here decides."""
+
+from __future__ import annotations
+
+from . import files as names
+from . import records, snapshot
+
+
+class Journal:
+    def __init__(self, files):
+        self.files, self.current = files, None
+
+    def begin(self, number, head):
+        """A new segment with its first frame, durable with its name in the folder. What was written before it
+        is closed; a file of that number that an earlier attempt left is no log yet and goes."""
+        self.abandon()
+        file = names.name(number)
+        self.files.remove(file)
+        self.files.create(file)
+        self.current = file
+        self._write(records.MAGIC + head)
+        self.files.sync_folder()
+        return len(records.MAGIC) + len(head)
+
+    def append(self, data):
+        """One write and one sync."""
+        if self.current is None:
+            raise OSError(0, "no segment is open")
+        self._write(data)
+        return len(data)
+
+    def _write(self, data):
+        try:
+            self.files.write(self.current, data)
+            self.files.sync(self.current)
+        except OSError:
+            self.abandon()
+            raise
+
+    def abandon(self):
+        """The descriptor is closed and never written to again."""
+        file, self.current = self.current, None
+        if file is not None:
+            try:
+                self.files.close(file)
+            except OSError:
+                pass  # the sync said what there was to say
+
+    def fetch(self, number, offset, size):
+        """A record read alone, or None where it is not whole."""
+        return records.one(self.files.read_at(names.name(number), offset, size))
+
+    def segment(self, number):
+        return self.files.read(names.name(number))
+
+    def drop(self, number):
+        self.files.remove(names.name(number))
+        self.files.sync_folder()
+
+    def set_aside(self, number):
+        file = names.name(number)
+        self.files.rename(file, file.replace(".log", ".damaged"))
+        self.files.sync_folder()
+
+    # A snapshot is written under another name, made durable, then takes its own at once.
+
+    def snapshot_begin(self, head):
+        file = names.SNAPSHOT + ".new"
+        self.files.close(file)
+        self.files.remove(file)
+        self.files.create(file)
+        self.files.write(file, head)
+        return len(head)
+
+    def snapshot_part(self, data):
+        self.files.write(names.SNAPSHOT + ".new", data)
+        return len(data)
+
+    def snapshot_end(self, count):
+        file = names.SNAPSHOT + ".new"
+        self.files.write(file, snapshot.end(count))
+        self.files.sync(file)
+        self.files.close(file)
+        self.files.rename(file, names.SNAPSHOT)
+        self.files.sync_folder()
+        return count
--- /dev/null
+++ b/valeturn/store/recovery.py
@@ -0,0 +1,256 @@
+"""What a log that is found on the disk says: pure functions from bytes to an index and its doubts.
+
+A frame that is not whole ends the log (a torn tail) only where nothing can have followed it: it reaches past
+the end of the last file, as a process that is killed leaves it, or the machine was started anew since, which
+may leave any bytes of the last write. All else is damage: the segment is read on behind it, and what may have
+been lost with it stays in doubt for the longest window.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from . import clock, records
+from .entry import FAILED, KEPT, MAYBE
+from .index import Index
+
+WHOLE, TORN, DAMAGED = "whole", "torn", "damaged"
+
+
+class Refused(Exception):
+    """The folder can't be used, and nothing in it was touched."""
+
+
+class Scan(NamedTuple):
+    frames: list
+    verdict: str
+    end: int  # bytes that are good from the front
+    bad_at: int  # where the first bad frame begins, or -1
+
+
+def scan(data, segment, start, known_end, same_boot, sequence=0):
+    """The frames of a segment from `start`. known_end: its good bytes as a later segment tells them, or None
+    for the last segment. sequence: of the frame before `start`."""
+    limit = len(data) if known_end is None else min(known_end, len(data))
+    view, frames, at, verdict, end, bad_at = data[:limit], [], start, WHOLE, start, -1
+    while at < limit:
+        frame = records.frame_at(view, at, segment)
+        if frame is not None:
+            frames.append(frame)
+            at = frame.end
+            end = at if verdict is WHOLE else end
+            continue
+        if verdict is WHOLE:
+            bad_at, verdict = (
+                at,
+                TORN if known_end is None and _torn(view, at, segment, same_boot) else DAMAGED,
+            )
+        again = _next_frame(view, at + 1, segment, frames[-1].sequence if frames else sequence)
+        if again is None:
+            break
+        verdict, at = DAMAGED, again  # a whole frame follows: no write was cut here
+    if known_end is not None and len(data) < known_end and verdict is WHOLE:
+        verdict, bad_at = DAMAGED, len(data)
+    return Scan(frames, verdict, end, bad_at)
+
+
+def _torn(view, at, segment, same_boot):
+    if not same_boot or len(view) - at < records.HEADER.size:
+        return True
+    header = records.header_at(view, at, segment)
+    return header is not None and at + records.HEADER.size + header[0] > len(view)
+
+
+SOUGHT = 1024  # numbers looked for behind a bad frame: a search for one is a millisecond in a whole segment
+
+
+def _next_frame(view, at, segment, sequence):
+    """Where the next good frame begins, found by the number that it must have."""
+    for number in range(sequence + 1, sequence + 1 + SOUGHT):
+        text, found = (number & 0xFFFFFFFF).to_bytes(4, "little"), at - 1
+        while (found := view.find(text, found + 1)) >= 0:
+            if found - 8 >= at and records.frame_at(view, found - 8, segment) is not None:
+                return found - 8
+    return None
+
+
+class Segment:
+    """What is kept in memory of one log file."""
+
+    __slots__ = ("longest_until", "number", "size")
+
+    def __init__(self, number, size, longest_until=0):
+        self.number, self.size, self.longest_until = number, size, longest_until
+
+
+class Found:
+    """What a folder holds, read as far as it can be."""
+
+    def __init__(self):
+        self.index, self.segments, self.unsettled = Index(), {}, {}  # unsettled: call -> (digest, workload)
+        self.sequence, self.last, self.stamp, self.longest, self.unsure = 0, 0, None, 0.0, 0.0
+        self.ends = []  # what the next head tells of the files before it
+        self.damaged, self.notes, self.records, self.passed_over = [], [], 0, 0
+
+    def note(self, event, **fields):
+        self.notes.append((event, fields))
+
+
+def heads(first_bytes):
+    """number -> Head of those segments whose first frame is good."""
+    out = {}
+    for number, data in first_bytes.items():
+        check_version(data, f"segment {number}")
+        frame = records.frame_at(data, len(records.MAGIC), number)
+        if frame is not None:
+            head = records.decode(frame.payload)[0][2]
+            if isinstance(head, records.Head):
+                out[number] = head
+    return out
+
+
+def check_version(data, what):
+    if data[:6] == records.MAGIC[:6] and len(data) > 6 and data[6] > records.MAJOR:
+        raise Refused(f"{what} has format {data[6]}, this version reads up to {records.MAJOR}")
+
+
+def recover(snapshot, numbers, read, first_bytes, check, moment, aside=()):
+    """The folder's state. snapshot: a Snapshot or None. numbers: the segments there are; read(number): the
+    bytes of one; check: what the key of the digests makes of the known text; moment: the clocks now; aside:
+    segments that were damaged and set aside, what could be read of them written anew. Raises Refused."""
+    found, known = Found(), heads(first_bytes)
+    for number, head in known.items():
+        if head.check != check:
+            raise Refused(f"segment {number} was written with another key")
+        found.longest = max(found.longest, head.longest)
+    ends = {number: end for head in known.values() for number, end in head.ends}
+    position = None
+    if snapshot is not None:
+        if snapshot.check != check:
+            raise Refused("the snapshot was written with another key")
+        position = _take_snapshot(found, snapshot)
+    numbers = sorted(numbers)
+    found.last = max([found.last, *numbers])
+    if numbers and position is not None and position[0] not in numbers:
+        found.note("snapshot_newer", segment=position[0], last=numbers[-1])
+        found.damaged.append((position[0], "missing"))
+    before = None
+    for number in numbers:
+        if position is not None and number < position[0]:
+            continue
+        if before is not None and number != before + 1:
+            found.damaged += [
+                (missing, "missing") for missing in range(before + 1, number) if missing not in aside
+            ]
+        before = number
+        start = position[1] if position is not None and number == position[0] else len(records.MAGIC)
+        last = number == numbers[-1]
+        _read_segment(
+            found,
+            number,
+            read(number),
+            start,
+            None if last else ends.get(number),
+            last and _boot_of(known, number, moment),
+            known,
+        )
+    if numbers and position is not None and before is None:
+        found.note("snapshot_newer", segment=position[0], last=numbers[-1])
+        found.damaged.append((position[0], "missing"))
+    if found.ends == [] and numbers:
+        found.ends = (
+            [(numbers[-1], found.segments[numbers[-1]].size)] if numbers[-1] in found.segments else []
+        )
+    if found.damaged:
+        at = clock.resume(found.stamp, moment)
+        found.unsure = max(found.unsure, at + found.longest)
+        found.note(
+            "damage", segments=",".join(f"{n}:{why}" for n, why in found.damaged), longest=found.longest
+        )
+    return found
+
+
+def _boot_of(known, number, moment):
+    head = known.get(number)
+    return head is not None and bool(head.boot_id) and head.boot_id == moment.boot_id
+
+
+def _take_snapshot(found, snapshot):
+    found.index, found.sequence, found.stamp = snapshot.index, snapshot.sequence, snapshot.stamp
+    found.unsettled, found.longest = dict(snapshot.unsettled), max(found.longest, snapshot.longest)
+    found.unsure, found.last = snapshot.unsure, snapshot.position[0]
+    for number, size, until in snapshot.segments:
+        found.segments[number] = Segment(number, size, until)
+    return snapshot.position
+
+
+def _read_segment(found, number, data, start, known_end, same_boot, known):
+    if data[:6] != records.MAGIC[:6]:
+        # A file that was made and never got its head: nothing in it was ever acted on.
+        empty = known_end == 0 or known_end is None and len(data) < len(records.MAGIC)
+        if not empty:
+            found.damaged.append((number, "no magic"))
+        found.segments[number] = Segment(number, len(data))
+        found.ends.append((number, 0))
+        return
+    if start > len(data):
+        found.note("snapshot_newer", segment=number, offset=start, size=len(data))
+        found.damaged.append((number, "shorter than its snapshot"))
+        found.segments[number] = Segment(number, len(data))
+        found.ends.append((number, len(data)))
+        return
+    got = scan(data, number, start, known_end, same_boot, found.sequence)
+    entry = found.segments.setdefault(number, Segment(number, 0))
+    entry.size = max(entry.size, len(data))
+    boot = known[number].boot_id if number in known else ""
+    for frame in got.frames:
+        _apply_frame(found, entry, frame, boot)
+    if got.verdict is TORN:
+        found.note("torn", segment=number, at=got.bad_at, cut=len(data) - got.bad_at)
+    elif got.verdict is DAMAGED:
+        found.damaged.append((number, f"at {got.bad_at}"))
+    if known_end is None:
+        found.ends.append((number, len(data) if got.verdict is DAMAGED else got.end))
+
+
+def _apply_frame(found, segment, frame, boot):
+    if found.sequence and frame.sequence != (found.sequence + 1) & 0xFFFFFFFF:
+        if not any(number == segment.number for number, _ in found.damaged):
+            found.damaged.append((segment.number, f"frames missing before {frame.sequence}"))
+    found.sequence = frame.sequence
+    for at, size, record in records.decode(frame.payload, boot):
+        found.records += 1
+        apply(found, segment, frame.offset + at, size, record)
+
+
+def apply(found, segment, offset, size, record):
+    """Moves the index by one durable record: the same for what is read at a start and what was just
+    written."""
+    if isinstance(record, (records.Intent, records.Result, records.Failed)):
+        state = (
+            MAYBE
+            if isinstance(record, records.Intent)
+            else (KEPT if isinstance(record, records.Result) else FAILED)
+        )
+        found.index.put(record.digest, segment.number, offset, record.until, size, state)
+        segment.longest_until = max(segment.longest_until, record.until)
+        if state == MAYBE:
+            found.unsettled[record.call] = (record.digest, record.workload)
+    elif isinstance(record, records.Unsent):
+        found.index.remove(record.digest)
+    elif isinstance(record, clock.Stamp):
+        if found.stamp is None or record.at >= found.stamp.at:
+            found.stamp = record
+    elif isinstance(record, records.Unsure):
+        found.unsure = max(found.unsure, record.until)
+    elif isinstance(record, records.Other):
+        found.passed_over += 1
+
+
+def settled(found):
+    """Drops calls whose entry has moved on since its intent: what stays is what may still run."""
+    found.unsettled = {
+        call: (digest, workload)
+        for call, (digest, workload) in found.unsettled.items()
+        if (row := found.index.get(digest)) is not None and row.state == MAYBE
+    }
--- /dev/null
+++ b/valeturn/store/snapshot.py
@@ -0,0 +1,107 @@
+"""The snapshot's bytes: the index as it lay, with the place in the log from which to read on. No I/O.
+
+    file  = magic:8 head-length:4 head-crc:4 head shard... end     head: msgpack; shard = number:4 length:4
+    crc:4 bytes;
+            end = a shard numbered 0xFFFFFFFF with the count of keys as its bytes
+
+Shards are copied one after another while the store goes on. What changed meanwhile stands in the log behind
+the position that was noted first, and reading it again changes nothing twice.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import NamedTuple
+
+import google_crc32c
+import msgpack
+
+from . import records
+from .clock import Moment, Stamp
+from .index import Index
+from .recovery import check_version
+
+MAGIC = b"VTSNAP" + bytes((records.MAJOR, records.MINOR))
+LENGTHS, PART = struct.Struct("<II"), struct.Struct("<III")
+END = 0xFFFFFFFF
+MOST_HEAD = 64 << 20
+
+
+class Snapshot(NamedTuple):
+    position: tuple  # (segment, offset) of the first frame that it does not hold
+    sequence: int  # of the last one that it does
+    stamp: Stamp | None
+    segments: list  # (number, size, longest until)
+    unsettled: dict  # call -> (digest, workload)
+    unsure: float
+    longest: float
+    check: bytes
+    index: Index | None
+
+
+def head(s):
+    stamp = None if s.stamp is None else [s.stamp.at, *s.stamp.moment]
+    data = msgpack.packb(
+        [
+            list(s.position),
+            s.sequence,
+            stamp,
+            s.segments,
+            [[call, *what] for call, what in s.unsettled.items()],
+            s.unsure,
+            s.longest,
+            s.check,
+        ],
+        use_bin_type=True,
+    )
+    return MAGIC + LENGTHS.pack(len(data), google_crc32c.value(data)) + data
+
+
+def part(number, data):
+    return PART.pack(number, len(data), google_crc32c.value(data)) + data
+
+
+def end(count):
+    return part(END, count.to_bytes(8, "little"))
+
+
+def read(data):
+    """A Snapshot, or the reason (a text) why the bytes are none. Raises Refused on a newer format."""
+    check_version(b"VTKEPT" + data[6:8] if data[:6] == MAGIC[:6] else b"", "the snapshot")
+    if data[:6] != MAGIC[:6]:
+        return "no magic"
+    at = len(MAGIC)
+    try:
+        length, crc = LENGTHS.unpack_from(data, at)
+        at += LENGTHS.size
+        body = data[at : at + length]
+        if length > MOST_HEAD or len(body) != length or google_crc32c.value(body) != crc:
+            return "its head is damaged"
+        position, sequence, stamp, segments, unsettled, unsure, longest, check = msgpack.unpackb(
+            body, raw=False, use_list=False
+        )
+        at, index, view = at + length, Index(), memoryview(data)
+        while True:
+            number, length, crc = PART.unpack_from(data, at)
+            at += PART.size
+            shard = bytes(view[at : at + length])
+            if len(shard) != length or google_crc32c.value(shard) != crc:
+                return f"shard {number} is damaged"
+            at += length
+            if number == END:
+                break
+            index.load(number, shard)
+    except (struct.error, ValueError, TypeError, msgpack.UnpackException) as error:
+        return f"cut or damaged: {error}"
+    stamp = None if stamp is None else Stamp(stamp[0], Moment(*stamp[1:]))
+    return Snapshot(
+        tuple(position),
+        sequence,
+        stamp,
+        [tuple(one) for one in segments],
+        {call: (digest, workload) for call, digest, workload in unsettled},
+        unsure,
+        longest,
+        check,
+        index,
+    )
