Tests of the store under crashes, failing disks and damage, and of the operator's file

Cause: the store and the file had been seen working only in the laboratory's runs. A full table of repeats without a store turns back instead of running unmarked.

--- /dev/null
+++ b/tests/disk.py
@@ -0,0 +1,230 @@
+"""A disk in memory, and a store on it: fails where a test wants it to, and loses what was not durable in a
+crash."""
+
+import errno
+import random
+
+from valeturn.store import bounds, clock
+from valeturn.store.helper import Inline
+from valeturn.store.kept import Kept
+
+
+class Disk:
+    """What outlives a process. `names`: what the folder durably has; the files' bytes and how many of them
+    are durable stand in `data` and `synced`, by an id that a rename keeps."""
+
+    def __init__(self):
+        self.names, self.now_names, self.data, self.synced = {}, {}, {}, {}
+        self.ops, self.next, self.locked, self.log = [], 0, False, []
+
+    def crash(self, chance=None):
+        """The process is killed; with a chance the machine loses its power, and what was not synced is kept
+        in part: of the folder's changes a first few, of each file's bytes a part, here and there with other
+        bytes."""
+        self.locked = False
+        if chance is None:
+            self.names, self.ops = dict(self.now_names), []
+            self.synced = {key: len(data) for key, data in self.data.items()}
+            return
+        for change in self.ops[: chance.randrange(len(self.ops) + 1)]:
+            change(self.names)
+        self.ops, self.now_names = [], dict(self.names)
+        for key, data in self.data.items():
+            rest = len(data) - self.synced[key]
+            del data[self.synced[key] + chance.randrange(rest + 1) :]
+            if rest and len(data) > self.synced[key] and chance.random() < 0.3:
+                data[chance.randrange(self.synced[key], len(data))] ^= 0x55
+            self.synced[key] = len(data)
+
+
+class Files:
+    """valeturn.store.files.Files on a Disk. fail: name of an operation -> how many more of it fail, with
+    which error; a descriptor whose sync failed must never be used again."""
+
+    def __init__(self, disk):
+        self.disk, self.open, self.bad, self.fail, self.counts = disk, {}, set(), {}, {}
+        self.before = lambda what, file: None  # called before each operation that changes something
+
+    def meet(self, what, file=""):
+        self.before(what, file)
+        self.counts[what] = self.counts.get(what, 0) + 1
+        left, code = self.fail.get(what, (0, 0))
+        if left:
+            self.fail[what] = left - 1, code
+            raise OSError(code, f"{what} fails as the test wants it")
+
+    def prepare(self):
+        if self.disk.locked:
+            return False
+        self.disk.locked = True
+        return True
+
+    def release(self):
+        self.disk.locked = False
+
+    def names(self):
+        return sorted(self.disk.now_names)
+
+    def find(self, file):
+        if file not in self.disk.now_names:
+            raise FileNotFoundError(errno.ENOENT, file)
+        return self.disk.data[self.disk.now_names[file]]
+
+    def size(self, file):
+        return len(self.find(file))
+
+    def read(self, file, most=None):
+        self.meet("read", file)
+        return bytes(self.find(file)[:most])
+
+    def read_at(self, file, offset, size):
+        self.meet("read", file)
+        return bytes(self.find(file)[offset : offset + size])
+
+    def change(self, change):
+        change(self.disk.now_names)
+        self.disk.ops.append(change)
+
+    def create(self, file):
+        self.meet("create", file)
+        assert file not in self.disk.now_names, "made over another"
+        self.disk.next += 1
+        key = self.disk.next
+        self.disk.data[key], self.disk.synced[key] = bytearray(), 0
+        self.change(lambda names: names.__setitem__(file, key))
+        self.open[file] = key
+
+    def write(self, file, data):
+        if file not in self.open:
+            raise OSError(errno.EBADF, file)
+        assert self.open[file] not in self.bad, "written to a descriptor whose sync failed"
+        try:
+            self.meet("write", file)
+        except OSError:
+            self.bad.add(self.open[file])
+            self.disk.data[self.open[file]] += data[: len(data) // 2]
+            raise
+        self.disk.data[self.open[file]] += data
+
+    def sync(self, file):
+        if file not in self.open:
+            raise OSError(errno.EBADF, file)
+        key = self.open[file]
+        assert key not in self.bad, "synced a descriptor whose sync failed"
+        try:
+            self.meet("sync", file)
+        except OSError:
+            self.bad.add(key)
+            raise
+        self.disk.synced[key] = len(self.disk.data[key])
+
+    def close(self, file):
+        self.open.pop(file, None)
+
+    def rename(self, file, new):
+        self.meet("rename", file)
+        key = self.disk.now_names[file]
+
+        def change(names):
+            names.pop(file, None)
+            names[new] = key
+
+        self.change(change)
+
+    def remove(self, file):
+        self.meet("remove", file)
+        self.change(lambda names: names.pop(file, None))
+
+    def sync_folder(self):
+        self.meet("sync_folder")
+        self.disk.names, self.disk.ops = dict(self.disk.now_names), []
+
+
+class Machine:
+    """Clocks that a test moves, and starts of a store on one disk."""
+
+    def __init__(self, disk=1_000_000, memory=2_000_000, segment=65_536, longest=30.0):
+        self.disk, self.wall, self.boot, self.boot_id = Disk(), 1_800_000_000.0, 1000.0, "first"
+        self.limits, self.longest = bounds.derive(disk, memory, segment), longest
+        self.counts, self.logged, self.retry = {}, [], 1.0
+        self.kept = self.files = None
+
+    def pass_time(self, seconds):
+        self.wall, self.boot = self.wall + seconds, self.boot + seconds
+
+    def moment(self):
+        return clock.Moment(self.wall, self.boot, self.boot_id)
+
+    def count(self, name, amount=1):
+        self.counts[name] = self.counts.get(name, 0) + amount
+
+    def start(self, held=False):
+        """A store as a server that starts has it."""
+        self.files = Files(self.disk)
+        assert self.files.prepare()
+        self.logged = []
+        self.kept = Kept(
+            self,
+            self.limits,
+            self.files,
+            Inline(held),
+            self.moment,
+            self.longest,
+            self.count,
+            lambda event, fields=None, fault=None: self.logged.append((event, fields)),
+        )
+        if not held:
+            self.kept.collect()
+        return self.kept
+
+    def kill(self):
+        self.disk.crash()
+
+    def lose_power(self, chance, down=5.0):
+        self.disk.crash(chance)
+        self.wall, self.boot, self.boot_id = self.wall + down, 1.0, f"boot {chance.random()}"
+
+    # ---- what a server does with it, in one go
+
+    def begin(self, key, number, window=30.0):
+        """How a newcomer fares: what it meets, or `refused`, or `started` once its intent is durable."""
+        digest = self.kept.digest("book", key)
+        meets = self.kept.meets(digest, 0.0)
+        if meets.how != "run":
+            return meets.how
+        if self.kept.room_in():
+            return "refused"
+        self.kept.note(number, digest, window, number.to_bytes(8, "big"), "book")
+        self.kept.flush()
+        news = self.kept.collect()
+        return "started" if ("synced", number, None) in news else "refused"
+
+    def finish(self, key, number, given, body=None):
+        self.kept.over(number, self.kept.digest("book", key), given, body)
+        self.kept.flush()
+        return self.kept.collect()
+
+    def ask(self, key):
+        """(what a repeat meets, the result where there is one)"""
+        meets = self.kept.meets(self.kept.digest("book", key), 0.0)
+        if meets.how != "answer":
+            return meets.how, None
+        body = self.kept.fetch(99, meets)
+        if body is None:
+            news = [news for news in self.kept.collect() if news[0] == "fetched"]
+            body = news[0][2] if news else None
+        return "answer", body
+
+    def tend(self, sweeps=200, seconds=0.1):
+        for _ in range(sweeps):
+            self.pass_time(seconds)
+            self.kept.upkeep()
+            self.kept.collect()
+
+    def kept_run(self, key, number, body=b"r", window=30.0):
+        assert self.begin(key, number, window) == "started", (key, number)
+        self.finish(key, number, 3, body)
+
+
+def seeded(*what):
+    return random.Random(repr(what))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -180,7 +180,7 @@
 class Ends:
     """Plays scheduler, link, ledger, reporter and module of a Core in memory."""
 
-    def __init__(self, rules=None, **changes):
+    def __init__(self, rules=None, kept=None, **changes):
         self.now, self.up, self.lines, self.calls, self.given_up = 100.0, True, [], [], []
         self.told, self.logged, self.counts, self.script, self.heard, self.later = [], [], {}, [], [], []
         self.settings = settings(**changes)
@@ -188,7 +188,7 @@
         self.tenants, self.passes_wait = {t.name: i for i, t in enumerate(self.settings.tenants)}, True
         self.core = Core(self, self, derive(384, 64), None, lambda cold, age: rules or self,
                          self, self, self, self, self.count, self,
-                         lambda event, *_, **__: self.logged.append(event))
+                         lambda event, *_, **__: self.logged.append(event), kept)
         self.turn(LinkUp(False, 0.0), do=[it.Health(True, True)])
         self.numbers = 0
 
@@ -281,6 +281,7 @@
 
     def turn_back(self, stream, load, retry_in=0.0, final=False):
         self.answers.append((stream, frames.TURNED_BACK, b""))
+        self.retry_in = retry_in
 
     def write_off(self, stream, load):
         self.answers.append((stream, frames.WRITTEN_OFF, b""))
--- /dev/null
+++ b/tests/test_keyed.py
@@ -0,0 +1,325 @@
+"""Deduplicated work with a store: the owner of the module across kills, failing disks, drains and repeats."""
+
+import pytest
+from disk import Machine, seeded
+from helpers import Caller, Ends
+
+from valeturn import interface as it
+from valeturn.protocol import executor as lines
+from valeturn.protocol.executor import End
+from valeturn.routing import messages as msg
+from valeturn.routing.executor import REPLAY_END
+from valeturn.rules import Rules
+
+DELIVERED, TURNED_BACK, WRITTEN_OFF = 1, 0, 9
+REMEMBERED = [lambda n: it.Remember(n, 8.0), it.Start]
+
+
+def over(call, end=End.DONE, result=b"result", number=1):
+    return lines.RunOver(number, call, end, 0.1, result)
+
+
+class World:
+    """A server with a store on a disk that outlives it."""
+
+    def __init__(self, held=False, real=False, **changes):
+        self.machine, self.real, self.changes = Machine(longest=8.0), real, changes
+        self.caller, self.born = Caller(), 0
+        self.start(held)
+
+    def start(self, held=False):
+        self.born += 1
+        self.kept = self.machine.start(held)
+        self.ends = Ends(kept=self.kept, **self.changes)
+        self.ends.numbers = 1000 * self.born  # calls are new after a restart too
+        if self.real:
+            self.ends.core.rules = Rules(self.ends.settings, 1, self.ends.now)
+
+    def restart(self, held=False):
+        self.machine.kill()
+        self.start(held)
+
+    def arrive(self, mark="m", workload="book", do=None, caller=None, **changes):
+        do = () if self.real else REMEMBERED if do is None else do
+        return self.ends.arrive(workload, caller or self.caller, do=do, mark=mark, **changes)
+
+    def disk(self, steps=None):
+        """The helper does so many jobs, and the owner hears of them."""
+        self.kept.helper.step(steps)
+        self.ends.turn(msg.DiskNews())
+
+    def commands(self, kind="EXEC"):
+        return [line["rid"] for line in self.ends.lines if line["t"] == kind]
+
+
+def codes(caller):
+    return [code for _, code, _ in caller.answers]
+
+
+def test_nothing_goes_to_the_executor_before_its_intent_is_durable():
+    world = World(held=True)
+    world.disk()
+    number, call = world.arrive()
+    world.ends.turn()
+    assert world.commands() == []
+    world.disk()
+    assert world.commands() == [call]
+    world.ends.turn(over(call))
+    assert world.caller.answers == [(1001, DELIVERED, b"result")], "the answer does not wait for the disk"
+
+
+def test_other_work_and_work_without_a_mark_does_not_wait():
+    world = World(held=True)
+    _, read = world.arrive(workload="read", do=[it.Start])
+    _, file = world.arrive(workload="file", do=[it.Start])
+    _, bare = world.arrive(mark=None, do=[it.Start])
+    assert world.commands() == [read, file, bare]
+
+
+@pytest.mark.parametrize(
+    "at, answered",
+    [
+        ("before the intent", "runs"),
+        ("between intent and start", WRITTEN_OFF),
+        ("between start and end", WRITTEN_OFF),
+        ("between end and result", WRITTEN_OFF),
+        ("between result and answer", DELIVERED),
+    ],
+)
+def test_a_kill_at_each_point_and_the_repeat_that_follows(at, answered):
+    world = World(held=True)
+    world.disk()
+    _, call = world.arrive()
+    if at == "between intent and start":
+        world.kept.helper.step()
+    elif at != "before the intent":
+        world.disk()
+        assert world.commands() == [call]
+        if at != "between start and end":
+            world.ends.turn(over(call))
+            if at == "between result and answer":
+                world.kept.helper.step()  # durable; take the answer as one that a broken connection lost
+    world.restart()
+    caller = Caller()
+    number, again = world.arrive(caller=caller, do=None if answered == "runs" else [it.AnswerFrom])
+    if answered == "runs":
+        world.disk()
+        assert world.commands() == [again] and caller.answers == []
+        return
+    assert world.ends.heard[-1].repeats == 0 and world.commands() == []
+    world.disk()
+    assert codes(caller) == [answered] and (answered != DELIVERED or caller.answers[0][2] == b"result")
+    world.ends.turn()
+    outcome = it.Outcome.DONE if answered == DELIVERED else it.Outcome.ERROR
+    assert world.ends.heard[-1] == it.Ended(number, outcome, 0.0) and not world.ends.core.open
+
+
+def test_one_key_on_three_connections_at_once_before_and_after_a_restart():
+    world, callers = World(), [Caller() for _ in range(3)]
+    first, call = world.arrive(caller=callers[0])
+    world.disk()
+    for caller in callers[1:]:
+        world.arrive(caller=caller, do=[it.AnswerFrom])
+        assert world.ends.heard[-1].repeats == first
+    assert world.commands() == [call]
+    world.ends.turn(over(call))
+    assert [codes(caller) for caller in callers] == [[DELIVERED]] * 3
+    world.disk()
+    world.restart()
+    callers = [Caller() for _ in range(3)]
+    for caller in callers:
+        world.arrive(caller=caller, do=[it.AnswerFrom])
+    world.disk()
+    assert [caller.answers[0][1:] for caller in callers] == [
+        (DELIVERED, b"result")
+    ] * 3 and world.commands() == []
+
+
+@pytest.mark.parametrize("what", ["write", "sync"])
+def test_what_can_t_be_noted_down_is_turned_back_with_its_repeats_and_told_when_to_come(what):
+    world = World(real=True)
+    world.disk()
+    world.machine.files.fail[what] = (1, 5)
+    callers = [Caller(), Caller()]
+    world.arrive(caller=callers[0])
+    world.arrive(caller=callers[1])
+    for _ in range(3):
+        world.disk()
+    assert [codes(caller) for caller in callers] == [[TURNED_BACK]] * 2 and world.commands() == []
+    late = Caller()
+    world.arrive(mark="other", caller=late)
+    assert codes(late) == [TURNED_BACK] and 0.9 <= late.retry_in <= 1.0, "the disk rests for a second"
+    for _ in range(20):  # the disk takes writes again
+        world.machine.pass_time(0.1)
+        world.kept.upkeep()
+        world.disk()
+    _, call = world.arrive(caller=Caller())
+    world.disk()
+    assert world.commands() == [call] and not world.ends.counts.get("errors.core")
+
+
+def test_a_halt_while_the_intent_is_on_its_way_sends_nothing_and_a_repeat_runs():
+    world = World(held=True)
+    world.disk()
+    number, call = world.arrive()
+    world.ends.turn(msg.Withdrawal(world.caller, 1001), do=[it.Halt(number)])
+    world.ends.turn()
+    assert world.ends.heard[-1] == it.Ended(number, it.Outcome.CANCELLED, 0.0)
+    world.disk()
+    world.disk()
+    assert world.commands() == [] and world.commands("KILL") == []
+    _, again = world.arrive(caller=Caller())
+    world.disk()
+    assert world.commands() == [again]
+    world.restart()
+    late = Caller()
+    world.arrive(caller=late, do=[it.AnswerFrom])
+    assert codes(late) == [WRITTEN_OFF], "the second one ran"
+
+
+def test_a_drain_with_intents_that_are_not_durable_answers_all_and_runs_none_late():
+    world = World(held=True, real=True)
+    world.disk()
+    for n in range(3):
+        world.arrive(mark=f"m{n}")
+    world.ends.turn(msg.Leaving(1.0))
+    for _ in range(12):
+        world.ends.now += 0.1
+        world.ends.turn(msg.Told(it.Woken(0, it.Gauges())))
+    assert len(world.caller.answers) == 3 and world.commands() == []
+    world.disk()
+    world.ends.turn()
+    assert world.commands() == [], "durable at last, and nobody waits for it"
+    world.kept.helper.held = False
+    world.disk()
+    assert world.kept.close(1.0)
+    world.restart()
+    assert world.kept.index.count == 0, "said to be unsent"
+
+
+def test_the_executor_s_word_from_before_the_restart_answers_the_repeat():
+    world = World()
+    _, call = world.arrive()
+    _, file = world.arrive(workload="file", mark=None, do=[it.Start])
+    world.restart()
+    world.ends.turn(over(call, result=b"from before"), over(file, number=2), lines.Gauged(REPLAY_END, ()))
+    assert (
+        world.ends.counts["executor.run_of_none"] == 1
+    ), "an unrepeatable one ends there; nothing runs again"
+    assert world.commands() == []
+    caller = Caller()
+    world.arrive(caller=caller, do=[it.AnswerFrom])
+    world.disk()
+    assert caller.answers[0][1:] == (DELIVERED, b"from before")
+
+
+def test_a_run_from_before_that_stands_at_its_call_is_ended_as_the_call_may_have_been_made():
+    world = World()
+    _, call = world.arrive()
+    world.restart()
+    world.ends.turn(lines.CallWanted(1, call, b"ask"))
+    assert world.commands("KILL") == [call] and world.ends.calls == []
+    world.ends.turn(over(call, End.STOPPED, b"", 2))
+    caller = Caller()
+    world.arrive(caller=caller, do=[it.AnswerFrom])
+    world.disk()
+    assert codes(caller) == [WRITTEN_OFF]
+
+
+def test_a_result_that_can_t_be_read_is_written_off_and_one_that_is_late_is_given_up_by_the_module():
+    world = World()
+    _, call = world.arrive()
+    world.ends.turn(over(call))
+    world.disk()
+    world.restart()
+    world.machine.files.fail["read"] = (1, 5)
+    caller = Caller()
+    world.arrive(caller=caller, do=[it.AnswerFrom])
+    world.disk()
+    assert codes(caller) == [WRITTEN_OFF]
+    world.kept.helper.held = True  # a disk that hangs
+    caller = Caller()
+    number, _ = world.arrive(caller=caller, do=[it.AnswerFrom])
+    world.ends.turn(msg.Told(it.Woken(0, None)), do=[it.WriteOff(number)])
+    assert codes(caller) == [WRITTEN_OFF]
+    world.disk()
+    assert codes(caller) == [WRITTEN_OFF], "one answer"
+
+
+def test_a_module_that_fails_leaves_the_store_with_what_is_so():
+    world = World(held=True)
+    world.disk()
+    _, sent = world.arrive("sent")
+    world.disk()
+    world.arrive("on its way")
+    world.ends.fail_once()
+    world.ends.turn(msg.Told(it.Woken(0, None)))
+    world.disk()
+    world.disk()
+    assert world.commands() == [sent] and world.commands("KILL") == [sent]
+    world.restart()
+    assert world.kept.meets(world.kept.digest("book", "sent"), 0.0).how == "write_off"
+    assert world.kept.meets(world.kept.digest("book", "on its way"), 0.0).how == "run"
+
+
+def test_without_a_store_a_full_table_of_repeats_turns_back_instead_of_running_unmarked():
+    caller = Caller()
+    ends = Ends()
+    ends.core.rules = Rules(ends.settings, 1, ends.now)
+    ends.core.repeating.table.most = 500
+    for mark in ("a", "b"):
+        ends.arrive("book", Caller(), mark=mark)
+    ends.arrive("book", caller, mark="c")
+    assert codes(caller) == [TURNED_BACK] and caller.retry_in == 1.0 and len(ends.lines) == 2
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_effect_twice_and_one_answer_each_over_restarts(seed):
+    """The real module and store, an executor that outlives both, kills at any moment and a disk that
+    fails."""
+    chance, world = seeded("keyed", seed), World(held=True, real=True)
+    effects, results, running, streams = {}, {}, {}, {}
+    seen = notices = 0
+    for step in range(1500):
+        ends = world.ends
+        ends.now += 0.02
+        world.machine.pass_time(0.02)
+        if chance.random() < 0.3:
+            mark, caller = f"m{step // 100}-{chance.randrange(12)}", Caller()
+            _, call = world.arrive(mark, caller=caller, body=mark.encode())
+            streams[call] = caller, mark
+        roll = chance.random()
+        if roll < 0.5:
+            world.disk(chance.randrange(1, 3))
+        elif roll < 0.51:
+            world.machine.files.fail[chance.choice(("write", "sync"))] = 1, 5
+        elif roll < 0.52:
+            world.restart(held=True)
+            streams, seen = {}, 0
+            ends = world.ends
+            ends.turn(lines.Gauged(REPLAY_END, ()))
+        if step % 5 == 0:
+            ends.turn(msg.Told(it.Woken(0, it.Gauges())))
+            world.kept.upkeep()
+        for line in ends.lines[seen:]:
+            if line["t"] == "EXEC":
+                mark = streams[line["rid"]][1]
+                assert mark not in effects, "an effect ran twice"
+                effects[mark], running[line["rid"]] = line["rid"], mark
+            elif line["t"] == "KILL" and line["rid"] in running:
+                running.pop(line["rid"])
+                notices += 1
+                ends.turn(over(line["rid"], End.STOPPED, b"", notices))
+        seen = len(ends.lines)
+        for call in sorted(running):
+            if chance.random() < 0.1:
+                mark = running.pop(call)
+                notices += 1
+                results[mark] = b"done " + mark.encode()
+                ends.turn(over(call, End.DONE, results[mark], notices))
+        for caller, mark in streams.values():
+            assert len(caller.answers) <= 1
+            for _, code, body in caller.answers:
+                assert code != DELIVERED or body == results[mark]
+    assert len(effects) > 30 and world.machine.counts.get("store.no_move", 0) == 0
+    assert not world.ends.counts.get("errors.core")
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,107 @@
+"""The laboratory: a server killed and restarted with and without its store, and the checker on planted
+faults."""
+
+import asyncio
+import signal
+from collections import Counter
+from types import SimpleNamespace
+
+import pytest
+from test_program import command
+
+from valeturn.lab import restarts
+from valeturn.lab.checker import CUT, DELIVERED, SILENT, TURNED_BACK, WRITTEN_OFF, Try, check
+
+
+def test_a_server_killed_again_and_again_loses_nothing_and_runs_nothing_twice(tmp_path):
+    verdict, lanes = asyncio.run(restarts.play(24, 3, 4, tmp_path))
+    assert verdict.good(), (verdict.twice, verdict.lost, verdict.wrong)
+    assert sum(lane.made for lane in lanes) == 24 and verdict.effects > 100
+    assert verdict.answered_from_store > 20 and verdict.submissions > 500
+    logs = b"".join((lane.folder / "log").read_bytes() for lane in lanes)
+    assert b"event=core_fault" not in logs and b"task_failed" not in logs and b"module_failed" not in logs
+
+
+def test_without_the_store_the_same_shows_effects_twice(tmp_path):
+    verdict, _ = asyncio.run(restarts.play(6, 3, 2, tmp_path, store=False))
+    assert verdict.twice and verdict.wrong and not verdict.lost
+
+
+def one(outcome, call="c1", key="k", workload="book", life=1, result=b"r", at=5.0):
+    return Try(key, workload, call, life, outcome, result, life, at)
+
+
+def seen(effects, calls, results=None):
+    return SimpleNamespace(effects=Counter(effects), calls=calls, results=results or {})
+
+
+BOOK = ("book", b"k")
+
+
+@pytest.mark.parametrize(
+    "tries, doubled, executor, field",
+    [
+        ([one(DELIVERED)], [], seen({BOOK: 2}, {"c1": b"k"}, {BOOK: b"r"}), "twice"),
+        ([one(SILENT)], [], seen({}, {}), "lost"),
+        ([one(CUT, at=5.0)], [], seen({}, {}), "lost"),
+        ([one(DELIVERED)], ["c1"], seen({BOOK: 1}, {"c1": b"k"}, {BOOK: b"r"}), "wrong"),
+        ([one(DELIVERED)], [], seen({BOOK: 1}, {"c1": b"k"}, {BOOK: b"other"}), "wrong"),
+        ([one(DELIVERED)], [], seen({}, {}), "wrong"),
+        ([one(TURNED_BACK)], [], seen({BOOK: 1}, {"c1": b"k"}), "wrong"),
+    ],
+)
+def test_the_checker_finds_each_planted_fault(tries, doubled, executor, field):
+    verdict = check(tries, doubled, executor, {1: 99.0})
+    assert not verdict.good() and getattr(verdict, field)
+
+
+def test_the_checker_passes_what_is_allowed():
+    tries = [
+        one(DELIVERED),
+        one(DELIVERED, "c2", life=2),
+        one(CUT, "c3", at=98.9),
+        one(WRITTEN_OFF, "c4"),
+        one(TURNED_BACK, "c5"),
+    ]
+    verdict = check(tries, [], seen({BOOK: 1}, {"c1": b"k"}, {BOOK: b"r"}), {1: 99.0})
+    assert verdict.good() and verdict.answered_from_store == 1 and verdict.effects == 1
+
+
+def test_a_folder_in_use_is_refused_and_a_changed_file_wants_a_restart(tmp_path):
+    lane = restarts.Lane(tmp_path, 1, 1, 0)
+
+    async def play():
+        await lane.set_up()
+        await lane.start()
+        for _ in range(400):
+            if b"event=welcome" in (tmp_path / "log").read_bytes():
+                break
+            await asyncio.sleep(0.02)
+        loop = asyncio.get_running_loop()
+        second = await loop.run_in_executor(
+            None, lambda: command("serve", "--config", str(lane.config), "--settings", str(lane.settings))
+        )
+        assert second.returncode == 2 and "another process has it" in second.stderr
+        lane.settings.write_text(lane.settings.read_text().replace("8 MB", "9 MB"))
+        lane.process.send_signal(signal.SIGHUP)
+        for _ in range(200):
+            if b"wants_restart=settings" in (tmp_path / "log").read_bytes():
+                break
+            await asyncio.sleep(0.02)
+        lane.process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(lane.process.wait(), 10) == 0
+        for server in lane.servers:
+            server.close()
+
+    asyncio.run(play())
+    assert b"wants_restart=settings" in (tmp_path / "log").read_bytes()
+    assert b"event=store_closed" in (tmp_path / "log").read_bytes()
+
+
+def test_the_commands_end_with_their_figures():
+    done = command("lab", "restarts", "--kills", "2", "--lanes", "1", "--seed", "5")
+    words = dict(word.split("=") for word in done.stdout.splitlines()[-1].split())
+    assert done.returncode == 0 and words["kills"] == "2" and words["twice"] == words["lost"] == "0"
+    done = command("lab", "store", "--keys", "2000")
+    assert done.returncode == 0 and "sqlite3: durable_a_second=" in done.stdout
+    assert command("lab", "restarts", "--kills", "many").returncode != 0
--- a/valeturn/lab/restarts.py
+++ b/valeturn/lab/restarts.py
@@ -84,8 +84,9 @@
 class Lane:
     """One server with parties, gateways and a folder of its own."""
 
-    def __init__(self, folder, number, seed, kills):
-        self.folder, self.number, self.kills = folder, number, kills
+    def __init__(self, folder, number, seed, kills, store=True):
+        """store: False serves without one, which must show effects twice: the checker's own check."""
+        self.folder, self.number, self.kills, self.store = folder, number, kills, store
         self.chance = Chance(seed * 1000003 + number)
         self.life, self.tries, self.doubled, self.process = 0, [], [], None
         self.deaths = {}  # life -> when its process was seen to have been killed
@@ -117,7 +118,8 @@
 
     async def start(self, point=None):
         self.life += 1
-        words = ["-m", "valeturn", "serve", "--config", str(self.config), "--settings", str(self.settings)]
+        words = ["-m", "valeturn", "serve", "--config", str(self.config)]
+        words += ["--settings", str(self.settings)] if self.store else []
         if point is not None:
             words = ["-m", "valeturn.lab.victim", str(self.config), str(self.settings), point]
         log = open(self.folder / "log", "ab")
@@ -175,6 +177,8 @@
         for _ in range(self.kills):
             await self.wait_until_served()
             wait = LONGEST_LIFE * self.chance.share()
+            if self.chance.share() < 0.2 and self.process.returncode is None:
+                self.process.send_signal(signal.SIGHUP)  # a reload, whatever the store is doing
             try:
                 await asyncio.wait_for(self.process.wait(), wait)
             except asyncio.TimeoutError:
@@ -208,10 +212,10 @@
             await asyncio.sleep(0.005)
 
 
-async def play(kills, seed, lanes, folder, progress=lambda lane: None):
+async def play(kills, seed, lanes, folder, progress=lambda lane: None, store=True):
     lanes = max(1, min(lanes, kills))
     share = [kills // lanes + (n < kills % lanes) for n in range(lanes)]
-    all_lanes = [Lane(folder / f"lane-{n}", n, seed, share[n]) for n in range(lanes)]
+    all_lanes = [Lane(folder / f"lane-{n}", n, seed, share[n], store) for n in range(lanes)]
     verdicts = await asyncio.gather(*(lane.run(progress) for lane in all_lanes))
     sums = [sum(getattr(v, field) for v in verdicts) for field in ("submissions", "effects")]
     lists = [[one for v in verdicts for one in getattr(v, field)] for field in ("twice", "lost", "wrong")]
--- a/valeturn/routing/repeating.py
+++ b/valeturn/routing/repeating.py
@@ -9,6 +9,7 @@
 
 from .. import interface as it
 from . import messages as msg
+from .open import NOTED
 from .repeats import Repeats
 
 IN_STORE = 0  # what the module is told that a newcomer repeats, where only the store knows it; ids begin at 1
@@ -134,6 +135,8 @@
         """Nothing is kept of it here any more."""
         if self.kept is not None and sub.digest is not None:
             self.kept.release(sub.number)
+            if sub.run == NOTED:
+                self.never_began(sub)
             if sub.noted:
                 sub.noted = False
                 self.kept.over(sub.number, sub.digest, self.ENDED)
--- a/valeturn/store/files.py
+++ b/valeturn/store/files.py
@@ -72,6 +72,8 @@
             view = view[os.write(self.open[file], view) :]
 
     def sync(self, file):
+        if file not in self.open:
+            raise OSError(0, f"{file} is not open")
         os.fdatasync(self.open[file])
 
     def close(self, file):
--- a/valeturn/store/index.py
+++ b/valeturn/store/index.py
@@ -15,6 +15,7 @@
 SHARDS = 1024  # a doubling at a million keys moves a thousand rows: 1 to 2 ms
 LEAST = 8  # rows of a new shard: all shards of a nearly empty store take 0.3 MB
 ROW = struct.Struct("<16sIIIHBx")
+PACK = ROW.pack_into
 SIZE, STATE = ROW.size, 30  # bytes of a row; where its state stands, 0 in an empty one
 
 
@@ -31,18 +32,14 @@
     def __init__(self):
         self.shards, self.counts, self.count = [None] * SHARDS, [0] * SHARDS, 0
 
-    @staticmethod
-    def _home(digest):
-        return (digest[0] | digest[1] << 8) % SHARDS, digest[2] | digest[3] << 8 | digest[4] << 16
-
     def _find(self, digest):
         """(shard's number, shard, start of its row) or the start of the empty row where it would be."""
-        number, at = self._home(digest)
+        number = (digest[0] | digest[1] << 8) & SHARDS - 1
         shard = self.shards[number]
         if shard is None:
             return number, None, -1
         most = len(shard)
-        start = at * SIZE % most
+        start = (digest[2] | digest[3] << 8 | digest[4] << 16) * SIZE & most - 1
         while shard[start + STATE] and shard[start : start + 16] != digest:
             start += SIZE
             if start == most:
@@ -66,7 +63,7 @@
                 _, shard, start = self._find(digest)
             self.counts[number] += 1
             self.count += 1
-        ROW.pack_into(shard, start, digest, segment, offset, until, size, state)
+        PACK(shard, start, digest, segment, offset, until, size, state)
 
     def _double(self, number):
         old = self.shards[number]
--- a/valeturn/store/journal.py
+++ b/valeturn/store/journal.py
@@ -19,7 +19,11 @@
         self.files.create(file)
         self.current = file
         self._write(records.MAGIC + head)
-        self.files.sync_folder()
+        try:
+            self.files.sync_folder()
+        except OSError:  # what is asked for behind this must not go on as if the segment were there
+            self.abandon()
+            raise
         return len(records.MAGIC) + len(head)
 
     def append(self, data):
@@ -69,18 +73,25 @@
         self.files.close(file)
         self.files.remove(file)
         self.files.create(file)
-        self.files.write(file, head)
-        return len(head)
+        return self.snapshot_part(head)
 
     def snapshot_part(self, data):
-        self.files.write(names.SNAPSHOT + ".new", data)
+        """After a failure the file is closed, so that no later part and no end can make it look whole."""
+        file = names.SNAPSHOT + ".new"
+        try:
+            self.files.write(file, data)
+        except OSError:
+            self.files.close(file)
+            raise
         return len(data)
 
     def snapshot_end(self, count):
         file = names.SNAPSHOT + ".new"
-        self.files.write(file, snapshot.end(count))
-        self.files.sync(file)
-        self.files.close(file)
+        self.snapshot_part(snapshot.end(count))
+        try:
+            self.files.sync(file)
+        finally:
+            self.files.close(file)
         self.files.rename(file, names.SNAPSHOT)
         self.files.sync_folder()
         return count
--- a/valeturn/store/kept.py
+++ b/valeturn/store/kept.py
@@ -125,7 +125,7 @@
 
     def told(self, call, given, body=None):
         """The executor tells of a run from before the restart. False where none is known by that call."""
-        known = self.found.unsettled.pop(call, None)
+        known = self.orphans.pop(call, None)
         row = None if known is None else self.index.get(known[0])
         if row is None or row.state != MAYBE or known[0] in self.live:
             return False
@@ -137,7 +137,7 @@
 
     def unsettled(self, call):
         """The workload of a run from before the restart, or None."""
-        known = self.found.unsettled.get(call)
+        known = self.orphans.get(call)
         return None if known is None else known[1]
 
     def do_write_intent(self, live):
@@ -185,7 +185,7 @@
 
     def _durable(self, one, offset):
         record, live = one.record, one.live
-        apply(self.found, self.active, offset, len(one.data), record)
+        apply(self.found, self.active, offset, len(one.data), records.KINDS[type(record)], record)
         if isinstance(record, (records.Intent, records.Result, records.Failed)):
             self.wheel.add(record.digest, record.until)
         if live is None:
@@ -194,8 +194,6 @@
         if isinstance(record, records.Intent):
             if live.state == NOTED and live.queued == 0:
                 self.move(live, entry.SYNCED)
-        else:
-            self.found.unsettled.pop(live.call, None)
         if live.queued == 0 and live.state not in (NOTED, SENT):
             self.forget(live)
 
@@ -258,6 +256,7 @@
             self.wheel.add(digest, row.until)
         elif entry.move(row.state, entry.EXPIRED) is not None:
             self.index.remove(digest)
+            self.found.unsettled.pop(digest, None)
             self.count("store.expired")
 
     def figures(self):
--- a/valeturn/store/log.py
+++ b/valeturn/store/log.py
@@ -37,7 +37,7 @@
         opened = open_folder(files, moment())
         self.opened, self.key = opened, opened.key
         found = self.found = opened.found
-        settled(found)
+        self.orphans = settled(found)
         found.longest = max(found.longest, longest)
         self.clock, self.journal, self.index = Clock(found.stamp, moment), Journal(files), found.index
         self.live = {}  # digest -> Live
@@ -47,7 +47,7 @@
         self.covered, self.snapshot_size = opened.covered, opened.snapshot_size
         self.position = opened.position or (0, 0)
         self.job, self.rest_until = None, 0.0  # the snapshot or compaction under way
-        self.set_aside = [n for n, why in found.damaged if n in found.segments]
+        self.set_aside = sorted({n for n, _ in found.damaged} & set(found.segments))
         self.aside = list(opened.set_aside)
         self.wants_snapshot = bool(found.damaged or opened.snapshot_bad)
         for event, fields in found.notes:
@@ -135,8 +135,8 @@
     def on_begun(self, what, got):
         if isinstance(got, OSError):
             self.failed("begin", got)
-            self.ends.append((what[1], 0))
             self.found.segments.pop(what[1], None)
+            self.found.last -= 1  # the number is used again: one that is missing would be damage
             self.sequence -= 1
             self._health(upkeep.FAILED)
             if self.flying is not None:  # was asked for behind it: its own end comes, and fails
--- a/valeturn/store/records.py
+++ b/valeturn/store/records.py
@@ -1,6 +1,6 @@
 """The log's bytes: segments of frames, frames of records. No I/O.
 
-    segment = magic:8 frame...            magic = "VTKEPT" major minor
+    segment = magic:12 frame...           magic = "VTKEPT" major minor, CRC32C of these
     frame   = length:4 crc:4 sequence:4 check:4 payload      little-endian; crc is CRC32C of the payload,
     check is
               CRC32C of the three numbers and the segment's number, so that no frame of another segment passes
@@ -20,7 +20,23 @@
 from .clock import Moment, Stamp
 
 MAJOR, MINOR = 1, 0
-MAGIC = b"VTKEPT" + bytes((MAJOR, MINOR))
+
+
+def preamble(kind, major, minor):
+    """The first 12 bytes of a file. Checked by themselves, so that a spoilt byte is no newer version."""
+    first = kind + bytes((major, minor))
+    return first + google_crc32c.value(first).to_bytes(4, "little")
+
+
+def version(data, kind):
+    """(major, minor) of a file's bytes, or None where they do not begin as this kind's do."""
+    if len(data) < 12 or data[:6] != kind or preamble(kind, data[6], data[7]) != data[:12]:
+        return None
+    return data[6], data[7]
+
+
+KIND = b"VTKEPT"
+MAGIC = preamble(KIND, MAJOR, MINOR)
 HEADER = struct.Struct("<IIII")
 NUMBERS = struct.Struct("<III")
 MOST_FRAME = 16 << 20  # bytes: far above what may wait for the disk, so that a length read amiss is told
@@ -74,29 +90,29 @@
 
 
 _TYPES = {HEAD: Head, INTENT: Intent, RESULT: Result, FAILED: Failed, UNSENT: Unsent, UNSURE: Unsure}
-_KINDS = {of: kind for kind, of in _TYPES.items()}
+KINDS = {of: kind for kind, of in _TYPES.items()}
 
 
 def encode(record):
     if isinstance(record, Stamp):
         return _pack([STAMP, record.at, record.moment.wall, record.moment.boot])
-    return _pack([_KINDS[type(record)], *record])
+    return _pack([KINDS[type(record)], *record])
 
 
 def result(digest, until, body):
     return Result(digest, until, body, google_crc32c.value(body))
 
 
-def decode(payload, boot_id=""):
-    """(offset, size, record) of each record. Raises ValueError on what is none, which a good CRC rules out
-    but for a fault of the writer."""
+def raw(payload):
+    """(offset, size, kind, fields) of each record. Raises ValueError on what is none, which a good CRC rules
+    out but for a fault of the writer."""
     unpacker = msgpack.Unpacker(raw=False, use_list=False, max_buffer_size=MOST_FRAME)
     unpacker.feed(payload)
     out, at = [], 0
     try:
         for fields in unpacker:
             end = unpacker.tell()
-            out.append((at, end - at, _record(fields, boot_id)))
+            out.append((at, end - at, fields[0], fields[1:]))
             at = end
     except (msgpack.UnpackException, TypeError, IndexError, UnicodeDecodeError) as error:
         raise ValueError(f"record {len(out)}: {type(error).__name__}: {error}") from None
@@ -105,8 +121,15 @@
     return out
 
 
-def _record(fields, boot_id):
-    kind, rest = fields[0], fields[1:]
+def decode(payload, boot_id=""):
+    """(offset, size, record) of each record. Raises ValueError as `raw` does."""
+    try:
+        return [(at, size, _record(kind, rest, boot_id)) for at, size, kind, rest in raw(payload)]
+    except (TypeError, IndexError) as error:
+        raise ValueError(f"{type(error).__name__}: {error}") from None
+
+
+def _record(kind, rest, boot_id):
     if kind == STAMP:
         return Stamp(rest[0], Moment(rest[1], rest[2], boot_id))
     of = _TYPES.get(kind)
--- a/valeturn/store/recovery.py
+++ b/valeturn/store/recovery.py
@@ -87,7 +87,7 @@
     """What a folder holds, read as far as it can be."""
 
     def __init__(self):
-        self.index, self.segments, self.unsettled = Index(), {}, {}  # unsettled: call -> (digest, workload)
+        self.index, self.segments, self.unsettled = Index(), {}, {}  # unsettled: digest -> (call, workload)
         self.sequence, self.last, self.stamp, self.longest, self.unsure = 0, 0, None, 0.0, 0.0
         self.known_ends = {}  # segment -> its good bytes, as later heads tell
         self.ends = []  # what the next head tells of the files before it
@@ -101,7 +101,7 @@
     """number -> Head of those segments whose first frame is good."""
     out = {}
     for number, data in first_bytes.items():
-        check_version(data, f"segment {number}")
+        check_version(data, records.KIND, f"segment {number}")
         frame = records.frame_at(data, len(records.MAGIC), number)
         if frame is not None:
             head = records.decode(frame.payload)[0][2]
@@ -110,9 +110,12 @@
     return out
 
 
-def check_version(data, what):
-    if data[:6] == records.MAGIC[:6] and len(data) > 6 and data[6] > records.MAJOR:
-        raise Refused(f"{what} has format {data[6]}, this version reads up to {records.MAJOR}")
+def check_version(data, kind, what):
+    """True where the bytes begin as they should. Raises Refused on a newer format."""
+    found = records.version(data, kind)
+    if found is not None and found[0] > records.MAJOR:
+        raise Refused(f"{what} has format {found[0]}, this version reads up to {records.MAJOR}")
+    return found is not None
 
 
 def recover(snapshot, numbers, read, first_bytes, check, moment, aside=()):
@@ -140,9 +143,8 @@
         if position is not None and number < position[0]:
             continue
         if before is not None and number != before + 1:
-            found.damaged += [
-                (missing, "missing") for missing in range(before + 1, number) if missing not in aside
-            ]
+            gone = (one for one in range(before + 1, number) if one not in aside and ends.get(one) != 0)
+            found.damaged += [(missing, "missing") for missing in gone]
         before = number
         start = position[1] if position is not None and number == position[0] else len(records.MAGIC)
         last = number == numbers[-1]
@@ -186,14 +188,13 @@
 
 
 def _read_segment(found, number, data, start, known_end, same_boot, known):
-    if data[:6] != records.MAGIC[:6]:
-        # A file that was made and never got its head: nothing in it was ever acted on.
-        empty = known_end == 0 or known_end is None and len(data) < len(records.MAGIC)
-        if not empty:
-            found.damaged.append((number, "no magic"))
-        found.segments[number] = Segment(number, len(data))
-        found.ends.append((number, 0))
-        return
+    if records.version(data, records.KIND) is None:
+        if _next_frame(data, 0, number, found.sequence) is None and not known_end:
+            # A file that was made and never got its head: nothing in it was ever acted on.
+            found.segments[number] = Segment(number, len(data))
+            found.ends.append((number, 0))
+            return
+        found.damaged.append((number, "no magic"))
     if start > len(data):
         found.note("snapshot_newer", segment=number, offset=start, size=len(data))
         found.damaged.append((number, "shorter than its snapshot"))
@@ -219,39 +220,46 @@
         if not any(number == segment.number for number, _ in found.damaged):
             found.damaged.append((segment.number, f"frames missing before {frame.sequence}"))
     found.sequence = frame.sequence
-    for at, size, record in records.decode(frame.payload, boot):
+    for at, size, kind, fields in records.raw(frame.payload):
         found.records += 1
-        apply(found, segment, frame.offset + at, size, record)
+        apply(found, segment, frame.offset + at, size, kind, fields, boot)
 
 
-def apply(found, segment, offset, size, record):
-    """Moves the index by one durable record: the same for what is read at a start and what was just
-    written."""
-    if isinstance(record, (records.Intent, records.Result, records.Failed)):
-        state = (
-            MAYBE
-            if isinstance(record, records.Intent)
-            else (KEPT if isinstance(record, records.Result) else FAILED)
-        )
-        found.index.put(record.digest, segment.number, offset, record.until, size, state)
-        segment.longest_until = max(segment.longest_until, record.until)
+STATES = {records.INTENT: MAYBE, records.RESULT: KEPT, records.FAILED: FAILED}
+
+
+def apply(found, segment, offset, size, kind, fields, boot=""):
+    """Moves the index by one durable record: the same for what is read at a start and what was just written.
+    fields: those of the record, in their order."""
+    state = STATES.get(kind)
+    if state is not None:
+        digest, until = fields[0], fields[1]
+        found.index.put(digest, segment.number, offset, until, size, state)
+        if until > segment.longest_until:
+            segment.longest_until = until
         if state == MAYBE:
-            found.unsettled[record.call] = (record.digest, record.workload)
-    elif isinstance(record, records.Unsent):
-        found.index.remove(record.digest)
-    elif isinstance(record, clock.Stamp):
-        if found.stamp is None or record.at >= found.stamp.at:
-            found.stamp = record
-    elif isinstance(record, records.Unsure):
-        found.unsure = max(found.unsure, record.until)
-    elif isinstance(record, records.Other):
+            found.unsettled[digest] = fields[2], fields[3]
+        else:
+            found.unsettled.pop(digest, None)
+    elif kind == records.UNSENT:
+        found.index.remove(fields[0])
+        found.unsettled.pop(fields[0], None)
+    elif kind == records.STAMP:
+        if found.stamp is None or fields[0] >= found.stamp.at:
+            found.stamp = clock.Stamp(fields[0], clock.Moment(fields[1], fields[2], boot))
+    elif kind == records.UNSURE:
+        found.unsure = max(found.unsure, fields[0])
+    elif kind != records.HEAD:
         found.passed_over += 1
 
 
 def settled(found):
-    """Drops calls whose entry has moved on since its intent: what stays is what may still run."""
-    found.unsettled = {
-        call: (digest, workload)
-        for call, (digest, workload) in found.unsettled.items()
-        if (row := found.index.get(digest)) is not None and row.state == MAYBE
-    }
+    """The runs from before the start of which no end is known: call -> (digest, workload)."""
+    calls = {}
+    for digest, (call, workload) in list(found.unsettled.items()):
+        row = found.index.get(digest)
+        if row is not None and row.state == MAYBE:
+            calls[call] = digest, workload
+        else:
+            del found.unsettled[digest]
+    return calls
--- a/valeturn/store/snapshot.py
+++ b/valeturn/store/snapshot.py
@@ -1,8 +1,8 @@
 """The snapshot's bytes: the index as it lay, with the place in the log from which to read on. No I/O.
 
-    file  = magic:8 head-length:4 head-crc:4 head shard... end     head: msgpack; shard = number:4 length:4
+    file  = magic:12 head-length:4 head-crc:4 head shard... end     head: msgpack; shard = number:4 length:4
     crc:4 bytes;
-            end = a shard numbered 0xFFFFFFFF with the count of keys as its bytes
+            end = a shard numbered 0xFFFFFFFF with the count of shards as its bytes
 
 Shards are copied one after another while the store goes on. What changed meanwhile stands in the log behind
 the position that was noted first, and reading it again changes nothing twice.
@@ -21,7 +21,8 @@
 from .index import Index
 from .recovery import check_version
 
-MAGIC = b"VTSNAP" + bytes((records.MAJOR, records.MINOR))
+KIND = b"VTSNAP"
+MAGIC = records.preamble(KIND, records.MAJOR, records.MINOR)
 LENGTHS, PART = struct.Struct("<II"), struct.Struct("<III")
 END = 0xFFFFFFFF
 MOST_HEAD = 64 << 20
@@ -32,7 +33,7 @@
     sequence: int  # of the last one that it does
     stamp: Stamp | None
     segments: list  # (number, size, longest until)
-    unsettled: dict  # call -> (digest, workload)
+    unsettled: dict  # digest -> (call, workload)
     unsure: float
     longest: float
     check: bytes
@@ -47,7 +48,7 @@
             s.sequence,
             stamp,
             s.segments,
-            [[call, *what] for call, what in s.unsettled.items()],
+            [[digest, *what] for digest, what in s.unsettled.items()],
             s.unsure,
             s.longest,
             s.check,
@@ -67,8 +68,7 @@
 
 def read(data):
     """A Snapshot, or the reason (a text) why the bytes are none. Raises Refused on a newer format."""
-    check_version(b"VTKEPT" + data[6:8] if data[:6] == MAGIC[:6] else b"", "the snapshot")
-    if data[:6] != MAGIC[:6]:
+    if not check_version(data, KIND, "the snapshot"):
         return "no magic"
     at = len(MAGIC)
     try:
@@ -80,7 +80,7 @@
         position, sequence, stamp, segments, unsettled, unsure, longest, check = msgpack.unpackb(
             body, raw=False, use_list=False
         )
-        at, index, view = at + length, Index(), memoryview(data)
+        at, index, view, parts = at + length, Index(), memoryview(data), 0
         while True:
             number, length, crc = PART.unpack_from(data, at)
             at += PART.size
@@ -89,8 +89,11 @@
                 return f"shard {number} is damaged"
             at += length
             if number == END:
+                if int.from_bytes(shard, "little") != parts:
+                    return "shards are missing"
                 break
             index.load(number, shard)
+            parts += 1
     except (struct.error, ValueError, TypeError, msgpack.UnpackException) as error:
         return f"cut or damaged: {error}"
     stamp = None if stamp is None else Stamp(stamp[0], Moment(*stamp[1:]))
@@ -99,7 +102,7 @@
         sequence,
         stamp,
         [tuple(one) for one in segments],
-        {call: (digest, workload) for call, digest, workload in unsettled},
+        {digest: (call, workload) for digest, call, workload in unsettled},
         unsure,
         longest,
         check,
--- a/valeturn/store/snapshots.py
+++ b/valeturn/store/snapshots.py
@@ -11,7 +11,7 @@
 
 class Snapshotting:
     def __init__(self, kept):
-        self.kept, self.next, self.size, self.ended = kept, 0, 0, False
+        self.kept, self.next, self.size, self.ended, self.parts = kept, 0, 0, False, 0
         found = kept.found
         # All that is durable now, and nothing else, stands before this position.
         self.position = (kept.active.number, kept.active.size)
@@ -48,11 +48,12 @@
             if data is not None:
                 parts.append(snapshot.part(self.next, data))
             self.next += 1
+        self.parts += len(parts)
         if parts:
             self.ask("snapshot_part", b"".join(parts))
         if self.next == shards and not self.ended:
             self.ended = True
-            self.ask("snapshot_end", kept.index.count)
+            self.ask("snapshot_end", self.parts)
         return True
 
     def on_done(self, what, got):
--- a/valeturn/store/upkeep.py
+++ b/valeturn/store/upkeep.py
@@ -56,7 +56,7 @@
     ((over,), DROP),
     ((crowded, uncovered), SNAPSHOT),
     ((crowded,), COMPACT),
-    ((lambda v: v.unsnapped > max(2 * v.segment, v.snapshot_size),), SNAPSHOT),
+    ((lambda v: v.unsnapped > max(2 * v.segment, v.snapshot_size / 2),), SNAPSHOT),
 )
 
 
