--- a/valeturn/options/grammar.py
+++ b/valeturn/options/grammar.py
@@ -5,11 +5,9 @@
 
 from __future__ import annotations
 
+import functools
 from typing import NamedTuple
 
-from lark import Lark
-from lark.exceptions import UnexpectedInput
-
 MOST_FILE = 1 << 20  # bytes: a thousand times what all sections together need
 MOST_LINE = 4096  # bytes of one line: a path and its key
 
@@ -34,8 +32,23 @@
     %ignore /[ \t]+/
 """
 
-_LINES = Lark(LINE, start="line", parser="lalr", propagate_positions=True)
-_VALUES = Lark(VALUE, start="quantity", parser="lalr")
+
+@functools.cache
+def _parser(start):
+    """Built when first asked for: a server keeps values, and never the grammar's seven megabytes."""
+    from lark import Lark
+
+    return Lark(LINE if start == "line" else VALUE, start=start, parser="lalr", propagate_positions=True)
+
+
+def _parse(start, text):
+    """The tree, or the column (from 1; 0 at the end) where the text is none."""
+    from lark.exceptions import UnexpectedInput
+
+    try:
+        return _parser(start).parse(text)
+    except UnexpectedInput as error:
+        return max(0, getattr(error, "column", 0))
 
 
 class Fault(NamedTuple):
@@ -84,20 +97,12 @@
                 Fault(file, number, 0, "too-long", f"the line has more than {MOST_LINE} characters")
             )
             continue
-        try:
-            tree = _LINES.parse(line).children[0]
-        except UnexpectedInput as error:
-            column = max(0, getattr(error, "column", 0))
-            faults.append(
-                Fault(
-                    file,
-                    number,
-                    column,
-                    "unreadable",
-                    "wants [section], key = value, or a remark after # or ;",
-                )
-            )
+        tree = _parse("line", line)
+        if isinstance(tree, int):
+            text = "wants [section], key = value, or a remark after # or ;"
+            faults.append(Fault(file, number, tree, "unreadable", text))
             continue
+        tree = tree.children[0]
         tokens = {token.type: token for token in tree.children}
         if tree.data == "section":
             name, label = str(tokens["NAME"]), str(tokens.get("LABEL", "")).strip()
@@ -133,8 +138,8 @@
 
 def quantity(text):
     """(number, unit or "") of a text such as `2.5 s`, or None where it is no quantity."""
-    try:
-        tokens = _VALUES.parse(text).children
-    except UnexpectedInput:
+    tree = _parse("quantity", text)
+    if isinstance(tree, int):
         return None
+    tokens = tree.children
     return float(tokens[0]), str(tokens[1]) if len(tokens) > 1 else ""
--- a/valeturn/options/sections.py
+++ b/valeturn/options/sections.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import os
+import pickle
+import socket
+
 from ..store.options import SHAPE as STORE
 from . import schema
 
@@ -16,12 +20,11 @@
         self.faults = faults
 
 
-def load(path, process):
-    """Options that fit the process's own limits. Raises Unusable. `process`: memory_mb of the
-    configuration."""
+def load(path, memory_mb):
+    """Options that fit the process's own limits. Raises Unusable."""
     options, faults = schema.load(path, SHAPES)
     if options is not None:
-        faults = [fault for name, built in options.sections.items() for fault in fit(built, process)]
+        faults = [fault for name, built in options.sections.items() for fault in fit(built, memory_mb)]
     if faults:
         raise Unusable(faults)
     return options
@@ -30,3 +33,38 @@
 def fit(built, memory_mb):
     check = getattr(built, "fit", None)
     return check(memory_mb) if check else []
+
+
+def receive(sock):
+    """All bytes up to the end, waiting for them."""
+    parts = []
+    while data := sock.recv(65536):
+        parts.append(data)
+    return b"".join(parts)
+
+
+def load_apart(path, memory_mb, receive=receive):
+    """As `load`, in a process of its own that ends with it: the grammar's memory goes with that process, and
+    a running server's loop goes on meanwhile where `receive` lets it."""
+    ours, other = socket.socketpair()
+    child = os.fork()
+    if child == 0:
+        try:
+            try:
+                said = load(path, memory_mb)
+            except Unusable as unusable:
+                said = unusable.faults
+            other.sendall(pickle.dumps(said))
+        finally:
+            os._exit(0)
+    other.close()
+    with ours:
+        data = receive(ours)
+    os.waitpid(child, 0)
+    try:
+        said = pickle.loads(data)
+    except (EOFError, pickle.UnpicklingError):
+        said = [schema.Fault(str(path), 0, 0, "unreadable", "its reader ended without a word")]
+    if isinstance(said, list):
+        raise Unusable(said)
+    return said
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -49,14 +49,14 @@
 from . import configuration, logs
 
 
-def operators_file(path, c):
+def operators_file(path, c, receive=None):
     """What the operator's file says, or None where there is none; without one none of its code is loaded."""
     if path is None:
         return None
     from ..options import sections
 
     try:
-        return sections.load(path, c.memory_mb)
+        return sections.load_apart(path, c.memory_mb, receive or sections.receive)
     except sections.Unusable as unusable:
         raise configuration.Wrong(str(unusable)) from None
 
@@ -69,9 +69,9 @@
     c = configuration.load(path=path)
     options = operators_file(settings, c)
 
-    def again():
+    def again(receive):
         fresh = configuration.load(path=path)
-        return fresh, operators_file(settings, fresh)
+        return fresh, operators_file(settings, fresh, receive)
 
     try:
         return Server(c, logs.set_up(c.name), verbose, again, options, files).serve()
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -29,7 +29,8 @@
 LOOK = 0.05  # s between looks at all connections: half of the shortest patience with one
 STEP = 0.02  # s between looks while draining
 CLOSING = 1.0  # s that the store has at the end for what still waits for the disk
-LIBRARIES_MB = 13  # that an operator's file takes: the grammar's 11, the store's two
+LIBRARIES_MB = 3  # that an operator's file takes: what keeps its values, and the store's libraries
+PATIENCE = 10.0  # s for the process that reads the operator's file: it takes a tenth of one
 
 
 def open_store(scheduler, options, files, names, put, count, log):
@@ -56,8 +57,8 @@
 
 class Server:
     def __init__(self, configuration, log, verbose=False, reload=None, options=None, files=None):
-        """`reload` reads the configuration and the operator's file anew, or raises what is wrong with
-        them."""
+        """`reload` reads the configuration and the operator's file anew, or raises what is wrong with them;
+        it is given what receives from a socket while the loop goes on."""
         c = self.configuration = configuration
         self.read_again = reload
         self.log, self.counters = log, Counters()
@@ -153,7 +154,7 @@
         """Takes the addresses of other parties from the file; what else changed in it waits for a restart. A
         file that can't be used changes nothing."""
         try:
-            fresh, options = self.read_again()
+            fresh, options = self.read_again(self.receive)
         except Wrong as wrong:
             self.counters.add("reload.refused")
             self.log("reload_refused", {"why": str(wrong)})
@@ -171,6 +172,14 @@
         self.log("reloaded", {"moved": ",".join(moved) or "nothing",
                               "wants_restart": ",".join(f for f in changed if f not in moved) or "nothing"})
 
+    def receive(self, sock):
+        """All bytes up to the end of a socket."""
+        stream, parts = Stream(self.scheduler, sock), []
+        while isinstance(got := stream.read(PATIENCE), bytes):
+            parts.append(got)
+        stream.close()
+        return b"".join(parts)
+
     def drain(self):
         """Serves on through the grace, then takes nothing new; ends when all is answered and all gateways
         have closed, so that nothing on its way is cut off, or shortly before the stop."""
--- a/valeturn/store/bounds.py
+++ b/valeturn/store/bounds.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-PROCESS_LEAST = 45_000_000  # bytes for the process with the store's libraries: 33 MB idle, the rest for work
+PROCESS_LEAST = 28_000_000  # bytes for the process with the store's libraries: 20 MB idle, the rest for work
 LEAST_SEGMENTS = 8  # that fit into `disk`: one is written, one compacted, one set aside, the rest is kept
 ROW = 32  # bytes of an index row
 LOAD = 0.75  # share of a shard's rows in use before it is doubled; probes stay under three at the mean
