--- a/valeturn/lab/gateways.py
+++ b/valeturn/lab/gateways.py
@@ -107,7 +107,8 @@
 
 class Gateway:
     def __init__(self, address, number, world):
-        """world: .life (the server's, counted), .chance (share()), .tries, .doubled."""
+        """world: .life (the server's, counted), .look_whether_dead(life), .chance (share()), .tries,
+        .doubled."""
         self.address, self.number, self.world, self.connection = address, number, world, None
         self.lock = asyncio.Lock()
 
@@ -121,6 +122,7 @@
                 except OSError:
                     return None
                 self.connection = c = Connection(*made, self.world.doubled.append)
+                c.life = self.world.life  # whose it is, also where its end is seen when the next one lives
             return c
 
     async def once(self, key, workload, wait):
@@ -128,10 +130,12 @@
         connection = await self.connected()
         if connection is None:
             return None
-        life, call = self.world.life, self.world.new_call()
+        life, call = connection.life, self.world.new_call()
         mark = key if workload == "book" else None
         got = await connection.ask(workload, call, key.encode(), wait, mark, self.number)
         outcome, result = (got, b"") if isinstance(got, str) else (CODES[got[0]], got[2])
+        if outcome == CUT:
+            await self.world.look_whether_dead(life)
         one = Try(key, workload, call, life, outcome, result, self.world.life, time.monotonic())
         self.world.tries.append(one)
         return one
--- a/valeturn/lab/restarts.py
+++ b/valeturn/lab/restarts.py
@@ -139,10 +139,28 @@
             self.process.kill()
         code = await self.process.wait()
         if code == -signal.SIGKILL:
-            self.deaths[self.life] = time.monotonic()
+            self.deaths.setdefault(self.life, time.monotonic())
         else:
             self.died_early += 1
 
+    async def look_whether_dead(self, life):
+        """After a cut: a process that ended itself shows so at once, though its parent may be told much
+        later, when a thread of it that waits for the disk has ended too."""
+        for _ in range(50):
+            if life != self.life or life in self.deaths:
+                return
+            if self.ended():
+                self.deaths[life] = time.monotonic()
+                return
+            await asyncio.sleep(0.005)
+
+    def ended(self):
+        try:
+            with open(f"/proc/{self.process.pid}/stat", encoding="ascii") as file:
+                return file.read().rpartition(")")[2].split()[0] in "ZX"
+        except OSError:
+            return True
+
     def next_point(self):
         if self.chance.share() >= 0.4:
             return None
