--- a/valeturn/lab/gateways.py
+++ b/valeturn/lab/gateways.py
@@ -117,12 +117,17 @@
         async with self.lock:
             c = self.connection
             if c is None or c.ended or c.draining or len(c.waiting) >= OPEN:
+                life = self.world.life
                 try:
                     made = await asyncio.open_connection(*self.address)
                 except OSError:
                     return None
                 self.connection = c = Connection(*made, self.world.doubled.append)
-                c.life = self.world.life  # whose it is, also where its end is seen when the next one lives
+                c.life = life  # whose it is, also where its end is seen when the next one lives
+                if life != self.world.life:  # one died and the next came while it was being made: nobody's
+                    c.task.cancel()
+                    made[1].close()
+                    return None
             return c
 
     async def once(self, key, workload, wait):
--- a/valeturn/lab/restarts.py
+++ b/valeturn/lab/restarts.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -136,7 +137,8 @@
 
     async def kill(self):
         if self.process.returncode is None:
-            self.process.kill()
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
         code = await self.process.wait()
         if code == -signal.SIGKILL:
             self.deaths.setdefault(self.life, time.monotonic())
@@ -196,7 +198,8 @@
             await self.wait_until_served()
             wait = LONGEST_LIFE * self.chance.share()
             if self.chance.share() < 0.2 and self.process.returncode is None:
-                self.process.send_signal(signal.SIGHUP)  # a reload, whatever the store is doing
+                with contextlib.suppress(ProcessLookupError):  # it has just ended itself
+                    self.process.send_signal(signal.SIGHUP)  # a reload, whatever the store is doing
             try:
                 await asyncio.wait_for(self.process.wait(), wait)
             except asyncio.TimeoutError:
