Levels of reduced service: conditions, signals, the decision, and the module under a level

When the shared dependency strains the server could only turn back or fail. [level NAME] sections say when slimmer answers go out and what is given up; a table decides, with least stays that double on a soon return, a bound on changes a minute, one rank at a time but straight to the worst in an emergency. Without a level the module's actions are as before.

--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -1,12 +1,14 @@
 """The operator's file: each broken one with the line and the rule that it must be told by."""
 
 import pathlib
+import re
 import subprocess
 import sys
 
 import pytest
 from test_program import CONFIG, ROOT, command
 
+from valeturn.program import configuration
 from valeturn.options import grammar, kinds, schema, sections
 from valeturn.options.kinds import Quantity, Wants
 
@@ -69,16 +71,20 @@
     assert options.get("other") is None
 
 
+def limits(memory_mb):
+    return configuration.decode(CONFIG)._replace(memory_mb=memory_mb)
+
+
 def test_memory_over_the_process_s_limits_is_told_with_its_line(tmp_path):
     file = tmp_path / "v.ini"
     file.write_text(GOOD + "memory = 64 MB\n")
-    assert sections.load(str(file), 192).get("store").memory == 64_000_000
+    assert sections.load(str(file), limits(192)).get("store").memory == 64_000_000
     with pytest.raises(sections.Unusable) as unusable:
-        sections.load(str(file), 80)
+        sections.load(str(file), limits(80))
     (fault,) = unusable.value.faults
     assert (fault.line, fault.rule) == (6, "over-the-limits") and "52 MB" in fault.text
     with pytest.raises(sections.Unusable):
-        sections.load(str(tmp_path / "none.ini"), 96)
+        sections.load(str(tmp_path / "none.ini"), limits(96))
 
 
 @pytest.mark.parametrize(
@@ -135,15 +141,12 @@
     text = pathlib.Path(ROOT / "deploy/valeturn.ini").read_text()
     options, faults = schema.check(text, "v.ini", sections.SHAPES)
     assert not faults and options.sections == {}
-    on = "\n".join(
-        line[1:] if line.startswith(("#[", "#f", "#d", "#m", "#s", "#r")) else line
-        for line in text.splitlines()
-    )
+    on = "\n".join(re.sub(r"^#(\[|[a-z_]+ = )", r"\1", line) for line in text.splitlines())
     options, faults = schema.check(on, "v.ini", sections.SHAPES)
     assert not faults and set(options.sections) == {shape.name for shape in sections.SHAPES}
-    assert set(options.get("store").where) == set(sections.STORE.fields), "each key is shown"
+    assert set(options.get("store").where) == set(sections.STORE.fields)
     written = {line.split("=")[0].strip() for line in on.splitlines() if "=" in line and line[0] != "#"}
-    assert written >= set(sections.STORE.fields)
+    assert written == {key for shape in sections.SHAPES for key in shape.fields}, "each key is shown"
 
 
 def test_the_command_line_checks_it_and_refuses_to_serve_with_a_broken_one(tmp_path):
--- a/valeturn/interface.py
+++ b/valeturn/interface.py
@@ -134,6 +134,20 @@
     left: float
 
 
+class Reduced(NamedTuple):
+    """What is given up at a level of reduced service. None of it touches what has started."""
+
+    without_call: frozenset = frozenset()  # workloads that go on without their call at once
+    call_wait: float = 1.0  # share of the wait that a call else has
+    within_share: bool = False  # newcomers of a tenant beyond its share are turned back
+    least_rank: float = 0.0  # and those that rank below
+    turn_back: frozenset = frozenset()  # and those of these workloads
+
+
+class Level(NamedTuple):
+    gives: Reduced
+
+
 class Woken(NamedTuple):
     mark: int
     gauges: Gauges
--- a/valeturn/options/sections.py
+++ b/valeturn/options/sections.py
@@ -6,10 +6,11 @@
 import pickle
 import socket
 
+from ..levels import options as levels
 from ..store.options import SHAPE as STORE
 from . import schema
 
-SHAPES = (STORE,)
+SHAPES = (STORE, levels.SHAPE)
 
 
 class Unusable(Exception):
@@ -20,21 +21,24 @@
         self.faults = faults
 
 
-def load(path, memory_mb):
-    """Options that fit the process's own limits. Raises Unusable."""
+# name of a section -> what is wrong with what was built of it beside a configuration
+# (program/configuration.py)
+FITS = {
+    "store": lambda built, c: built.fit(c.memory_mb),
+    "level": lambda built, c: levels.fit(built, c.names),
+}
+
+
+def load(path, c):
+    """Options that fit the configuration. Raises Unusable."""
     options, faults = schema.load(path, SHAPES)
     if options is not None:
-        faults = [fault for name, built in options.sections.items() for fault in fit(built, memory_mb)]
+        faults = [fault for name, built in options.sections.items() for fault in FITS[name](built, c)]
     if faults:
         raise Unusable(faults)
     return options
 
 
-def fit(built, memory_mb):
-    check = getattr(built, "fit", None)
-    return check(memory_mb) if check else []
-
-
 def receive(sock):
     """All bytes up to the end, waiting for them."""
     parts = []
@@ -43,7 +47,7 @@
     return b"".join(parts)
 
 
-def load_apart(path, memory_mb, receive=receive):
+def load_apart(path, c, receive=receive):
     """As `load`, in a process of its own that ends with it: the grammar's memory goes with that process, and
     a running server's loop goes on meanwhile where `receive` lets it."""
     ours, other = socket.socketpair()
@@ -51,7 +55,7 @@
     if child == 0:
         try:
             try:
-                said = load(path, memory_mb)
+                said = load(path, c)
             except Unusable as unusable:
                 said = unusable.faults
             other.sendall(pickle.dumps(said))
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -56,7 +56,7 @@
     from ..options import sections
 
     try:
-        return sections.load_apart(path, c.memory_mb, receive or sections.receive)
+        return sections.load_apart(path, c, receive or sections.receive)
     except sections.Unusable as unusable:
         raise configuration.Wrong(str(unusable)) from None
 
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -10,7 +10,7 @@
 from ..routing.executor import ExecutorLink
 from ..routing.gateways import Gateways
 from ..routing.ledger import Ledger
-from ..routing.messages import DiskNews, Leaving
+from ..routing.messages import DiskNews, Leaving, Told
 from ..routing.naming import Reporter
 from ..routing.pace import Pace
 from ..rules import Rules
@@ -33,6 +33,13 @@
 PATIENCE = 10.0  # s for the process that reads the operator's file: it takes a tenth of one
 
 
+def make_reducing(scheduler, levels, names, count, log):
+    from ..levels.options import make
+    from ..routing.reduced import Reducing
+
+    return Reducing(scheduler.clock(), make(levels, names), names.settings, count, log)
+
+
 def open_store(scheduler, options, files, names, put, count, log):
     """Loads and opens the store. Raises Wrong where its folder can't be used."""
     from ..store import bounds, clock
@@ -76,9 +83,11 @@
         self.ledger = Ledger(scheduler, c.ledger, bounds.calls, put, count)
         self.gateways = Gateways(scheduler, put, c.names, bounds, count)
         self.reporter = Reporter(scheduler, c.naming, c.name, chance, count)
+        levels = options.get("level") if options is not None else None
+        self.reducing = None if levels is None else make_reducing(scheduler, levels, c.names, count, log)
         self.core = Core(scheduler, c.names, bounds, Pace(scheduler.clock, c.cores), self.make_rules,
                          self.link, self.ledger, self.gateways, self.reporter, count,
-                         self.counters.times, log, self.kept)
+                         self.counters.times, log, self.kept, self.reducing)
         self.core.trace = log if verbose else None
         self.leave_at = self.stop_at = None
 
@@ -133,6 +142,8 @@
         while True:
             self.scheduler.sleep(PRINT)
             self.counters.print(self.log, self.scheduler, self.beliefs())
+            if self.reducing is not None:
+                self.log("count", {"group": "level", **self.reducing.figures(self.scheduler.clock())})
 
     def beliefs(self):
         """What this server holds to be so at the moment, to be compared with what crosses the sockets."""
@@ -166,12 +177,27 @@
         self.link.move(self.configuration.executor)
         self.ledger.move(self.configuration.ledger)
         self.reporter.move(self.configuration.naming)
-        if options != self.options:
+        if options != self.options and not self.take_levels(options):
             changed.append("settings")
         self.counters.add("reload.taken")
         self.log("reloaded", {"moved": ",".join(moved) or "nothing",
                               "wants_restart": ",".join(f for f in changed if f not in moved) or "nothing"})
 
+    def take_levels(self, options):
+        """True where nothing but the levels has changed, and they are taken over."""
+        old, new = self.options, options
+        if self.reducing is None or new is None or not new.get("level"):
+            return False
+        if {k: v for k, v in old.sections.items() if k != "level"} != {
+                k: v for k, v in new.sections.items() if k != "level"}:
+            return False
+        from ..levels.options import make
+
+        self.reducing.decision.put(make(new.get("level"), self.configuration.names))
+        self.core.put(Told(self.reducing.event()))  # what the present level gives up may have changed
+        self.options = new
+        return True
+
     def receive(self, sock):
         """All bytes up to the end of a socket."""
         stream, parts = Stream(self.scheduler, sock), []
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -29,7 +29,7 @@
 
 class Core:
     def __init__(self, scheduler, names, bounds, pace, make_rules, link, ledger, gateways, reporter, count,
-                 times, log, kept=None):
+                 times, log, kept=None, reducing=None):
         self.scheduler, self.pace, self.make_rules = scheduler, pace, make_rules
         self.names, self.settings = names, names.settings
         self.link, self.ledger, self.gateways, self.reporter = link, ledger, gateways, reporter
@@ -40,7 +40,8 @@
         self.wakes, self.asked, self.times = [], 0.0, times
         self.runs, self.repeating = Runs(self), Repeating(self, bounds.results, kept)
         self.good, self.shallow, self.load, self.checks = False, True, None, {}
-        self.leave, self.events, self.trace = None, [], None
+        self.cold, self.warm_since = False, 0.0
+        self.leave, self.events, self.trace, self.reducing = None, [], None, reducing
         self.takes, self.does = self.tables()
 
     def owed(self):
@@ -119,10 +120,17 @@
         for mark in due:
             fresh = now - self.runs.gauged_at <= GAUGES_LAST
             self.events.append(it.Woken(mark, self.names.gauges(self.runs.gauges if fresh else ())))
+        if due and self.reducing is not None:
+            self.reducing.gauged(now, self.names.gauges(self.runs.gauges)) if fresh else None
+            self.events += self.reducing.sweep(now, self.is_cold(now))
         if due:
             self.repeating.expire(now)
             self.link.check()
 
+    def is_cold(self, now):
+        """While it warms up a server's own cores tell of nothing but that."""
+        return self.cold and now - self.warm_since < self.settings.cold_time
+
     def module_failed(self, now, error):
         """Answers what is owed as truthfully as is known, and goes on with a module that knows nothing."""
         self.log("module_failed", fault=error)
@@ -146,7 +154,9 @@
         """A notice to leave that came before is told as of then: the grace counts from the notice."""
         when, notice = self.leave if self.leave is not None else (now, None)
         rules, self.wakes = self.make_rules(cold, age), []
-        actions = rules.decide(when, [] if notice is None else [notice])
+        self.cold, self.warm_since = cold or self.settings.cold, now - age
+        told = [] if self.reducing is None else [self.reducing.event()]
+        actions = rules.decide(when, told + ([] if notice is None else [notice]))
         self.rules = rules
         for action in actions:
             self.carry(self.does, now, action)
@@ -178,6 +188,8 @@
         sub.repeats, room_in = self.repeating.newcomer(now, sub, waited)
         self.open[number] = self.by_call[s.call] = self.by_stream[connection, s.stream] = sub
         left = None if s.wait is None or not self.names.passes_wait else max(0.0, s.wait - waited)
+        if self.reducing is not None:
+            self.reducing.signals.arrived(now, waited)
         self.events.append(it.Arrived(
             id=number, workload=workload, tenant=self.names.tenants.get(s.tenant), waited=waited, rank=s.rank,
             retry=s.retry, subject=s.subject, caller=s.caller, memory=s.memory, left=left,
@@ -241,6 +253,8 @@
         """The one final answer, unless its caller has one or has gone."""
         if not sub.answered:
             self.count("out." + kind)
+            if kind == "turned_back" and self.reducing is not None:
+                self.reducing.signals.turned_back(self.scheduler.clock())
             getattr(sub.connection, ANSWERS[kind])(sub.stream, self.load, *what)
             if self.trace is not None:
                 self.trace("answered", {"call": sub.call, "workload": sub.workload, "kind": kind,
--- /dev/null
+++ b/valeturn/routing/reduced.py
@@ -0,0 +1,61 @@
+"""Tells the module which level of reduced service holds: measures, asks the decision, logs and counts
+changes."""
+
+from __future__ import annotations
+
+from .. import interface as it
+from ..levels.decision import STATES, Decision
+from ..levels.signals import Signals
+
+FAILED = (it.Outcome.ERROR, it.Outcome.TIMED_OUT, it.Outcome.RESET, it.Outcome.UNREACHED)
+
+
+class Reducing:
+    def __init__(self, now, levels, settings, count, log):
+        self.settings, self.count, self.log = settings, count, log
+        self.decision, self.signals = Decision(levels, now), Signals(now)
+        self.times, self.since, self.why, self.swept = {}, now, "", now
+
+    def call_ended(self, now, outcome, took):
+        if outcome is not it.Outcome.CANCELLED and outcome is not it.Outcome.MOOT:
+            self.signals.call_ended(now, took, outcome in FAILED)
+
+    def gauged(self, now, gauges):
+        memory = None if gauges.memory is None else gauges.memory / self.settings.memory
+        self.signals.gauged(now, gauges.busy, memory)
+
+    def sweep(self, now, cold):
+        """The events for the module: the level that holds from now on, where it changed."""
+        read = self.signals.read(now)
+        name = self.decision.at or "none"
+        self.times[name] = self.times.get(name, 0.0) + now - self.swept
+        self.swept = now
+        if self.decision.at is None:
+            self.signals.learn(now, read)
+        else:
+            self.signals.rest(now)
+        return self.told(now, self.decision.step(now, read, self.signals.usual, cold), read)
+
+    def hold(self, now, name, seconds):
+        """By hand; None where there is no such level."""
+        changes = self.decision.pin(now, name, seconds)
+        return None if changes is None else self.told(now, changes, self.signals.read(now))
+
+    def told(self, now, changes, read):
+        for change in changes:
+            self.count("levels.changes")
+            self.since, self.why = now, change.why
+            known = {k: round(v, 4) for k, v in read.items() if v is not None}
+            way = {"from": change.before or "none", "to": change.after or "none", "why": change.why}
+            self.log("level", {**way, **known})
+        return [self.event()] if changes else []
+
+    def event(self):
+        level = self.decision.level()
+        return it.Level(it.Reduced() if level is None else level.gives)
+
+    def figures(self, now):
+        """For the counters: which level, since when and why, and the seconds in each so far."""
+        spent = {f"in_{name}_s": seconds for name, seconds in sorted(self.times.items())}
+        now_in = {"now": self.decision.at or "none", "for_s": now - self.since, "why": self.why or "-"}
+        return {**now_in, "state": STATES[self.decision.state], **spent}
--- a/valeturn/routing/runs.py
+++ b/valeturn/routing/runs.py
@@ -160,6 +160,8 @@
         if sub is None or sub.notice is None or sub.attempt != m.attempt:
             self.core.count("ledger.reply_of_none")
             return
+        if self.core.reducing is not None:
+            self.core.reducing.call_ended(now, m.outcome, m.took)
         if m.outcome is it.Outcome.DONE:
             self.send_reply(sub, lines.reply(sub.call, m.body))
         self.core.events.append(it.CallEnded(m.number, m.outcome, m.took))
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -119,7 +119,7 @@
         self.door = Fading(3.0, 3, now)  # submissions read, turned back, waits unread. 3 s: some dozen
         self.level, self.well, self.idle = 0.0, True, 0.0  # said last; an idle time of 0 is the longest
         self.usual = {}  # (caller, workload) -> the wait most seen and its votes, which tell later tries
-        self.awake = False
+        self.awake, self.reduced = False, it.Reduced()
 
     # ---- the way in
 
@@ -182,7 +182,7 @@
             self.sent.add(self.now, e.tenant, 1)
         if e.repeats is not None and (w.effect is not Effect.UNREPEATABLE):
             self.step(sub, JOIN)
-        elif self.late_for_drain(sub) or due < self.now + self.margin:
+        elif self.late_for_drain(sub) or due < self.now + self.margin or self.given_up(sub, e.rank):
             self.step(sub, GIVE_UP)
         elif w.effect is Effect.DEDUPLICATED or (w.effect is Effect.IDEMPOTENT and self.s.fresh_for > 0):
             self.remember(sub, w)
@@ -207,6 +207,15 @@
             self.calls.add(self.now, 0, e.took, 1)
         self.step(sub, CALL_INPUT[e.outcome])
 
+    def given_up(self, sub, rank):
+        """Newcomers that the present level of reduced service has no room for; repeats are none."""
+        r = self.reduced
+        beyond = r.within_share and sub.tenant is not None and self.within(sub.tenant) < 1.0
+        return sub.workload in r.turn_back or rank < r.least_rank or beyond
+
+    def on_level(self, e):
+        self.reduced = e.gives
+
     def on_leave(self, e):
         self.leave_at, self.stop_at = self.now, self.now + e.left
         self.out.append(it.Health(False, True))
@@ -228,7 +237,7 @@
         self.say_health()
         self.say_idle()
 
-    FOR_SERVER = {it.Arrived: on_arrived, it.Leave: on_leave, it.Woken: on_woken}
+    FOR_SERVER = {it.Arrived: on_arrived, it.Leave: on_leave, it.Woken: on_woken, it.Level: on_level}
     FOR_ONE = {it.Ended: on_ended, it.Gone: on_gone, it.CallEnded: on_call_ended,
                it.AtCall: lambda self, sub, e: self.step(sub, CALLS)}
 
@@ -296,7 +305,8 @@
         least = self.least_wait()
         again = self.s.workloads[sub.workload].effect is Effect.IDEMPOTENT
         most = least * (PATIENCE if again else LAST_PATIENCE)
-        wait = max(0.01, min(until - self.now, max(least, min(most, self.credit / 2))))
+        wait = max(least, min(most, self.credit / 2)) * self.reduced.call_wait
+        wait = max(0.01, min(until - self.now, wait))
         sub.tries += 1
         sub.reserved = wait + self.s.call_linger
         sub.called_at, self.credit = self.now, self.credit - sub.reserved
@@ -408,14 +418,17 @@
         is not seen, so this server's part of the allowance is an even one."""
         value = self.s.workloads[sub.workload].revenue
         if sub.tenant is not None:
-            sent = self.sent.read(self.now)[sub.tenant] / self.sent.life
-            allowed = self.s.tenants[sub.tenant].allowance / max(1, self.s.servers)
-            within = min(1.0, allowed / max(1e-3, sent))
+            within = self.within(sub.tenant)
             value *= within + (1 - within) * self.s.over_share_worth
         if sub.retry and not sub.told:
             value *= 0.5  # of unknown age: half of them, say, can no longer make their goal
         return value if self.s.by_work else value / max(1e-3, sub.cost)
 
+    def within(self, tenant):
+        """The share of what a tenant likely sends that is within its allowance."""
+        sent = self.sent.read(self.now)[tenant] / self.sent.life
+        return min(1.0, self.s.tenants[tenant].allowance / max(1, self.s.servers) / max(1e-3, sent))
+
     # ---- steps of a decision
 
     def late_for_drain(self, sub):
@@ -524,7 +537,8 @@
         # Those that cannot go without come first, as a slow dependency leaves credit for few.
         standing = [sub for sub in self.live.values() if sub.state == AT_CALL]
         for sub in sorted(standing, key=lambda sub: (self.can_skip(sub), sub.goal_by)):
-            if self.can_skip(sub) and self.now >= self.skip_at(sub):
+            without = sub.workload in self.reduced.without_call or self.now >= self.skip_at(sub)
+            if self.can_skip(sub) and without:
                 self.step(sub, SKIP)
             elif self.credit >= self.least_wait() + self.s.call_linger:
                 self.step(sub, CALL_OUT)
