A control socket: valeturn status, and a level held by hand for a time

Seen on a running server: held at a level, newcomers of its workload were turned back and all else delivered; freed, they were delivered again.

--- /dev/null
+++ b/valeturn/control/options.py
@@ -0,0 +1,27 @@
+"""The section [control] of the operator's file."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..options.kinds import Folder
+from ..options.schema import REQUIRED, Field, Shape
+
+LONGEST_PATH = 100  # bytes of a Unix socket's path: the system takes 107
+
+
+class ControlOptions(NamedTuple):
+    socket: str
+    where: dict = {}
+
+
+def build(values, where):
+    faults = []
+    if len(values["socket"].encode()) > LONGEST_PATH:
+        faults.append(
+            where["socket"].fault("too-long", f"socket wants a path of at most {LONGEST_PATH} bytes")
+        )
+    return ControlOptions(**values, where=where), faults
+
+
+SHAPE = Shape("control", {"socket": Field(Folder(), REQUIRED)}, build)
--- /dev/null
+++ b/valeturn/control/requests.py
@@ -0,0 +1,117 @@
+"""Requests and answers: one JSON object a line, both ways. No I/O.
+
+{"do":"status"}                               {"good":true,"status":{...}}
+{"do":"hold","level":"slim","for":300.0}      {"good":true}
+{"do":"free"}                                 {"good":false,"why":"no level is held by hand"}
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import NamedTuple
+
+MOST = 4096  # bytes of a request: the longest has a level's name
+LONGEST_HOLD = 86400.0  # s: whatever is held by hand ends within a day
+
+
+class Status(NamedTuple):
+    pass
+
+
+class Hold(NamedTuple):
+    level: str
+    seconds: float
+
+
+class Free(NamedTuple):
+    pass
+
+
+class Bad(NamedTuple):
+    why: str
+
+
+def read(line):
+    """The request of a line, or Bad with what is wrong."""
+    try:
+        raw = json.loads(line)
+    except (ValueError, RecursionError):
+        return Bad("wants a JSON object on one line")
+    what = raw.get("do") if isinstance(raw, dict) else None
+    if what == "status":
+        return Status()
+    if what == "free":
+        return Free()
+    if what == "hold":
+        level, seconds = raw.get("level"), raw.get("for")
+        if not isinstance(level, str):
+            return Bad("hold wants a level")
+        number = isinstance(seconds, (int, float)) and not isinstance(seconds, bool)
+        if not number or not math.isfinite(seconds) or not 0 < seconds <= LONGEST_HOLD:
+            return Bad(f"for wants seconds up to {LONGEST_HOLD:g}")
+        return Hold(level, float(seconds))
+    return Bad("do wants status, hold or free")
+
+
+def good(**more):
+    return (json.dumps({"good": True, **more}, separators=(",", ":")) + "\n").encode()
+
+
+def refused(why):
+    return (json.dumps({"good": False, "why": why}) + "\n").encode()
+
+
+class Lines:
+    """Cuts what is read into lines; None once one is too long."""
+
+    def __init__(self):
+        self.held = bytearray()
+
+    def feed(self, data):
+        self.held += data
+        *whole, rest = bytes(self.held).split(b"\n")
+        if len(rest) > MOST or any(len(line) > MOST for line in whole):
+            return None
+        self.held = bytearray(rest)
+        return whole
+
+
+def human(name, status):
+    """A server's status for a person: what level and why comes first."""
+    level, out = status.get("level"), status.get("out", {})
+    lines = [
+        f"{name}: {status['name']} {status['version']}, up {status['up_s']:.0f} s"
+        + (", leaving" if status["leaving"] else "")
+    ]
+    if level is None:
+        lines.append("  level: none configured")
+    else:
+        why = f" because {level['why']}" if level["why"] != "-" else ""
+        lines.append(
+            f"  level: {level['now']} for {level['for_s']:.0f} s{why}"
+            + (" (by hand)" if level["state"] == "pinned" else "")
+        )
+    beliefs = status["beliefs"]
+    lines.append(
+        f"  open {beliefs['open']}, owed {beliefs['owed']}, running {beliefs['running']}, "
+        f"at calls {beliefs['at_calls']}, in doubt {beliefs['in_doubt']}, calls out {beliefs['calls_out']}"
+    )
+    lines.append(
+        "  "
+        + (
+            ", ".join(f"{kind.replace('_', ' ')} {count}" for kind, count in sorted(out.items()))
+            or "nothing answered yet"
+        )
+    )
+    lines.append(
+        f"  executor {'up' if beliefs['link_up'] else 'DOWN'}, health "
+        f"{'good' if beliefs['good'] else 'NOT GOOD'}, cpu {100 * beliefs['cpu_share']:.0f} %, "
+        f"connections {beliefs['connections']}"
+    )
+    if "kept_keys" in beliefs:
+        lines.append(
+            f"  kept keys {beliefs['kept_keys']}, log {beliefs['kept_log_mb']:.1f} MB, "
+            f"disk {beliefs['kept_disk']}"
+        )
+    return "\n".join(lines)
--- a/valeturn/levels/decision.py
+++ b/valeturn/levels/decision.py
@@ -135,6 +135,10 @@
         self.pinned_until = now + seconds
         return self._move(PIN, now, target, f"by hand for {seconds:g} s")
 
+    def free(self, now):
+        """Ends what is held by hand; None where nothing is."""
+        return self._move(UNPIN, now, None, "freed by hand") if self.state == PINNED else None
+
     def _move(self, given, now, target, why):
         found = TABLE.get((self.state, given))
         if found is None:
--- a/valeturn/options/sections.py
+++ b/valeturn/options/sections.py
@@ -6,11 +6,12 @@
 import pickle
 import socket
 
+from ..control.options import SHAPE as CONTROL
 from ..levels import options as levels
 from ..store.options import SHAPE as STORE
 from . import schema
 
-SHAPES = (STORE, levels.SHAPE)
+SHAPES = (STORE, levels.SHAPE, CONTROL)
 
 
 class Unusable(Exception):
@@ -26,6 +27,7 @@
 FITS = {
     "store": lambda built, c: built.fit(c.memory_mb),
     "level": lambda built, c: levels.fit(built, c.names),
+    "control": lambda built, c: [],
 }
 
 
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -5,6 +5,9 @@
   valeturn serve [--config FILE] [--settings FILE] [--verbose]
   valeturn check [FILE] [--settings FILE]
   valeturn store (inspect | verify | compact) DIR
+  valeturn status SOCKET... [--json]
+  valeturn level hold NAME --for TIME SOCKET...
+  valeturn level free SOCKET...
   valeturn lab restarts [--kills N] [--seed S] [--lanes L] [--keep DIR]
   valeturn lab store [--keys N] [--folder DIR]
   valeturn version
@@ -18,6 +21,8 @@
   store      Of a folder of kept results: what is in it; whether all of it is whole; write it anew without
   what
              is over. The server must not be running on it for the last.
+  status     Of running servers, by the control sockets that their operator's files name: level and why, work,
+             answers. `level hold` holds a level by hand for a time, logged; `level free` ends that.
   lab        The laboratory: `restarts` kills and restarts a server on loopback and counts effects; `store`
              measures the store beside plain sqlite3.
   version    Print the version.
@@ -26,6 +31,8 @@
   --config FILE    The configuration; else the variable EDGE_CONFIG names it.
   --settings FILE  The operator's own file (deploy/valeturn.ini has all it may hold).
   --verbose        Log each answer with its call, workload, kind and time.
+  --json           The whole status, for programs.
+  --for TIME       How long a level is held, such as 5min: a day at the most.
   --kills N        How often the server is killed [default: 50].
   --seed S         For all chance [default: 1].
   --lanes L        Servers killed side by side, each with parties of its own [default: 4].
@@ -90,6 +97,19 @@
     return 0
 
 
+def level(given):
+    from ..control.client import level as ask
+    from ..options.kinds import Quantity, Wants
+
+    if given["free"]:
+        return ask(given["SOCKET"], None, 0.0)
+    try:
+        seconds = Quantity("a time", 0.1, 86400.0).read(given["--for"])
+    except Wants as wants:
+        raise configuration.Wrong(f"--for {wants.args[1]}") from None
+    return ask(given["SOCKET"], given["NAME"], seconds)
+
+
 def main(words):
     try:
         return carry_out(words)
@@ -118,6 +138,12 @@
         from ..store.commands import main as store
 
         return store(next(what for what in ("inspect", "verify", "compact") if given[what]), given["DIR"])
+    if given["status"]:
+        from ..control.client import status
+
+        return status(given["SOCKET"], given["--json"])
+    if given["level"]:
+        return level(given)
     if given["lab"]:
         from ..lab.commands import main as lab
 
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 
+from .. import __version__
 from ..routing.core import Core
 from ..routing.executor import ExecutorLink
 from ..routing.gateways import Gateways
@@ -90,6 +91,7 @@
                          self.counters.times, log, self.kept, self.reducing)
         self.core.trace = log if verbose else None
         self.leave_at = self.stop_at = None
+        self.came = scheduler.clock()
 
     def make_rules(self, cold, age):
         """A server is cold if its executor was just started cold or its settings say so; warmth counts from
@@ -119,6 +121,7 @@
         scheduler.spawn(self.print_counters, name="counters")
         if self.kept is not None:
             scheduler.spawn(self.hear_the_disk, name="disk")
+        self.open_control()
         gc.collect()
         gc.freeze()  # what lives as long as the process is not looked through again
         gc.set_threshold(GARBAGE, 10, 10)
@@ -127,12 +130,53 @@
         self.log("ended", {"clean": not self.failed})
         return 1 if self.failed else 0
 
+    def open_control(self):
+        options = self.options.get("control") if self.options is not None else None
+        if options is not None:
+            from ..control.server import Control, InUse
+
+            try:
+                self.control = Control(self.scheduler, options.socket, self.answer_control, self.counters.add)
+            except (InUse, OSError) as error:  # a server without its control socket serves all the same
+                self.counters.add("control.not_open")
+                self.log("control_not_open", {"socket": options.socket, "why": str(error)})
+
+    control = None
+
     def hear_the_disk(self):
         """Tells the owner of the module that the store's helper has done something."""
         stream = Stream(self.scheduler, self.kept.helper.end)
         while isinstance(stream.read(), bytes):
             self.core.put(DiskNews())
 
+    def status(self):
+        """What an operator is told of this server at the moment."""
+        groups, now = self.counters.groups(), self.scheduler.clock()
+        return {"name": self.configuration.name, "version": __version__, "up_s": now - self.came,
+                "leaving": self.leave_at is not None, "beliefs": self.beliefs(), "out": groups.get("out", {}),
+                "counters": groups, "times_ms": self.counters.times.means(),
+                "level": None if self.reducing is None else self.reducing.figures(now)}
+
+    def answer_control(self, request):
+        """Nothing about submissions is decided through it: a level is held as a condition would enter it."""
+        from ..control import requests
+
+        if isinstance(request, requests.Status):
+            return requests.good(status=self.status())
+        if self.reducing is None:
+            return requests.refused("no levels are configured")
+        now = self.scheduler.clock()
+        if isinstance(request, requests.Hold):
+            told = self.reducing.hold(now, request.level, request.seconds)
+            why = f"no level {request.level}"
+        else:
+            told, why = self.reducing.free(now), "no level is held by hand"
+        if told is None:
+            return requests.refused(why)
+        for event in told:
+            self.core.mailbox.push(Told(event))
+        return requests.good()
+
     def sweep(self):
         while True:
             self.gateways.sweep()
@@ -219,6 +263,8 @@
             if not self.gateways.connections and not self.core.owed():
                 break
             self.scheduler.sleep(STEP)
+        if self.control is not None:
+            self.control.close()
         self.log("drained", {"connections": len(self.gateways.connections), "owed": self.core.owed(),
                              "took": now() - self.leave_at})
         self.scheduler.stop()
--- a/valeturn/routing/reduced.py
+++ b/valeturn/routing/reduced.py
@@ -41,6 +41,11 @@
         changes = self.decision.pin(now, name, seconds)
         return None if changes is None else self.told(now, changes, self.signals.read(now))
 
+    def free(self, now):
+        """None where nothing is held by hand."""
+        changes = self.decision.free(now)
+        return None if changes is None else self.told(now, changes, self.signals.read(now))
+
     def told(self, now, changes, read):
         for change in changes:
             self.count("levels.changes")
