lab levels: an emulator of many servers in virtual time, with levels and without

The real module and levels run on emulated cores beside a shared dependency that fills, slows and fails; callers come again, lists lag, servers are lost and come back cold.

--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -19,6 +19,22 @@
         return restarts(
             number(given, "--kills"), number(given, "--seed"), number(given, "--lanes"), given["--keep"]
         )
+    if given["levels"]:
+        from .levels import SHAPES
+        from .levels import main as levels
+
+        first, shape = number(given, "--seed"), given["--shape"]
+        if shape not in SHAPES:
+            raise SystemExit(f"valeturn: --shape wants one of {', '.join(SHAPES)}, has {shape!r}")
+        seeds = range(first, first + max(1, number(given, "--seeds")))
+        return levels(
+            shape,
+            number(given, "--minutes"),
+            number(given, "--servers"),
+            seeds,
+            given["--report"],
+            sys.stdout,
+        )
     from .storebench import main as store
 
     return store(number(given, "--keys"), given["--folder"], sys.stdout)
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -10,6 +10,7 @@
   valeturn level free SOCKET...
   valeturn lab restarts [--kills N] [--seed S] [--lanes L] [--keep DIR]
   valeturn lab store [--keys N] [--folder DIR]
+  valeturn lab levels [--shape NAME] [--minutes M] [--servers N] [--seed S] [--seeds N] [--report DIR]
   valeturn version
   valeturn --help
 
@@ -24,7 +25,8 @@
   status     Of running servers, by the control sockets that their operator's files name: level and why, work,
              answers. `level hold` holds a level by hand for a time, logged; `level free` ends that.
   lab        The laboratory: `restarts` kills and restarts a server on loopback and counts effects; `store`
-             measures the store beside plain sqlite3.
+             measures the store beside plain sqlite3; `levels` plays a load in virtual time, with levels and
+             without.
   version    Print the version.
 
 Options:
@@ -36,6 +38,11 @@
   --kills N        How often the server is killed [default: 50].
   --seed S         For all chance [default: 1].
   --lanes L        Servers killed side by side, each with parties of its own [default: 4].
+  --shape NAME     Of load: steady step sine burst slow failing lost [default: sine].
+  --minutes M      Of virtual time [default: 10].
+  --servers N      Emulated servers [default: 20].
+  --seeds N        How many seeds, from --seed on [default: 1].
+  --report DIR     Write an HTML page with plots there (pip install -r requirements-lab.txt).
   --keep DIR       Keep the logs and folders there.
   --keys N         Keys to store [default: 100000].
   --folder DIR     Where to measure; else a temporary one.
