Metrics in Prometheus's text, on the control socket and in a file that is replaced whole

The state of a server could be read by people alone. [metrics] writes all counters, beliefs, times and levels through the client library, which is loaded only where that is on (14 MB).

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -102,6 +102,9 @@
 LEVELS = """
 [control]
 socket = {socket}
+[metrics]
+file = {socket}.prom
+every = 1 s
 [level slim]
 rank = 1
 enter = cores.busy > 99 % for 60 s
@@ -141,6 +144,11 @@
         status = json.loads((await run("status", "--json", path)).stdout)[path]
         assert held == ["turned back", "delivered", "delivered"]
         assert (status["level"]["now"], status["level"]["state"]) == ("slim", "pinned")
+        text = (await run("metrics", path)).stdout
+        assert 'valeturn_level{level="slim"} 1.0' in text and "valeturn_link_up 1.0" in text
+        assert 'valeturn_events_total{group="out",name="delivered"}' in text
+        await asyncio.sleep(1.2)
+        assert 'valeturn_level{level="slim"} 1.0' in open(path + ".prom", encoding="utf-8").read()
         assert (await run("level", "free", path)).returncode == 0
         assert (await run("level", "free", path)).returncode == 1, "nothing is held"
         assert (await gateway.once("k9", "quote", 1.0)).outcome == "delivered"
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -9,7 +9,7 @@
 import pytest
 from test_program import command
 
-from valeturn.lab import restarts
+from valeturn.lab import levels, restarts
 from valeturn.lab.checker import CUT, DELIVERED, SILENT, TURNED_BACK, WRITTEN_OFF, Try, check
 
 
@@ -105,3 +105,26 @@
     done = command("lab", "store", "--keys", "2000")
     assert done.returncode == 0 and "sqlite3: durable_a_second=" in done.stdout
     assert command("lab", "restarts", "--kills", "many").returncode != 0
+
+
+def test_levels_earn_more_when_the_dependency_strains_and_refuse_nothing_that_has_started():
+    for shape in ("slow", "lost"):
+        without, with_them = (levels.play(shape, 3, 40.0, on, 5) for on in (False, True))
+        assert with_them.worth > without.worth and with_them.refused_after_start == 0, shape
+        assert 2 <= with_them.changes <= 3 * 10 and without.changes == 0 and sum(with_them.slim) > 0
+    calm = [levels.play("steady", 3, 40.0, on, 5) for on in (False, True)]
+    assert (
+        calm[1].changes == 0 and calm[0].line() == calm[1].line()
+    ), "no level entered: the same to the digit"
+
+
+def test_the_emulator_plays_the_same_seed_the_same_and_loses_no_submission():
+    one, other = (levels.play("failing", 2, 30.0, True, 8) for _ in range(2))
+    assert one.line() == other.line()
+    assert sum(one.sent) == sum(one.delivered) + one.turned_back + one.written_off
+
+
+def test_a_report_can_be_read_without_the_program(tmp_path):
+    levels.report(tmp_path, "slow", 30.0, *(levels.play("slow", 1, 30.0, on, 1) for on in (False, True)))
+    page = (tmp_path / "index.html").read_text()
+    assert "levels.png" in page and "earned=" in page and (tmp_path / "levels.png").stat().st_size > 10_000
--- a/valeturn/control/client.py
+++ b/valeturn/control/client.py
@@ -44,6 +44,16 @@
     return 0 if all(got["good"] for got in answers.values()) else 1
 
 
+def metrics(path):
+    got = ask(path, {"do": "metrics"})
+    print(
+        got["text"] if got["good"] else got["why"],
+        end="" if got["good"] else "\n",
+        file=sys.stdout if got["good"] else sys.stderr,
+    )
+    return 0 if got["good"] else 1
+
+
 def level(paths, name, seconds):
     """Holds a level, or frees what is held where there is no name."""
     request = {"do": "free"} if name is None else {"do": "hold", "level": name, "for": seconds}
--- a/valeturn/control/requests.py
+++ b/valeturn/control/requests.py
@@ -28,10 +28,17 @@
     pass
 
 
+class Metrics(NamedTuple):
+    pass
+
+
 class Bad(NamedTuple):
     why: str
 
 
+PLAIN = {"status": Status, "free": Free, "metrics": Metrics}
+
+
 def read(line):
     """The request of a line, or Bad with what is wrong."""
     try:
@@ -39,10 +46,8 @@
     except (ValueError, RecursionError):
         return Bad("wants a JSON object on one line")
     what = raw.get("do") if isinstance(raw, dict) else None
-    if what == "status":
-        return Status()
-    if what == "free":
-        return Free()
+    if isinstance(what, str) and what in PLAIN:
+        return PLAIN[what]()
     if what == "hold":
         level, seconds = raw.get("level"), raw.get("for")
         if not isinstance(level, str):
@@ -51,7 +56,7 @@
         if not number or not math.isfinite(seconds) or not 0 < seconds <= LONGEST_HOLD:
             return Bad(f"for wants seconds up to {LONGEST_HOLD:g}")
         return Hold(level, float(seconds))
-    return Bad("do wants status, hold or free")
+    return Bad("do wants status, metrics, hold or free")
 
 
 def good(**more):
--- a/valeturn/lab/levels.py
+++ b/valeturn/lab/levels.py
@@ -94,8 +94,9 @@
         settings(servers),
         MIX,
         load=lambda t: servers * CAPACITY * SHAPES[shape](t, seconds) if t < seconds else 0.0,
-        # Full at a fifth more calls than full cores make, each of twice its idle time.
-        call_room=max(4.0, 1.2 * servers * CAPACITY * CALLS * 2 * 0.04),
+        # With room for 4 x rate x time it can just hold that rate (time / (1 - crowd), crowd a half): a fifth
+        # more.
+        call_room=max(4.0, 1.2 * 4 * servers * CAPACITY * CALLS * 0.04),
         call_time=0.04,
         slow=(lambda t: 10.0 if trouble(t) else 1.0) if shape == "slow" else (lambda t: 1.0),
         failing=(lambda t: 0.8 if trouble(t) else 0.0) if shape == "failing" else (lambda t: 0.0),
@@ -170,7 +171,7 @@
     n = len(gains)
     print(
         f"shape={shape} minutes={minutes:g} servers={servers} seeds={n} "
-        f"changes={sum(b.changes for _, b in gains) / n:.1f} refused_after_start={bad} "
+        f"changes_a_server={sum(b.changes for _, b in gains) / n / servers:.1f} refused_after_start={bad} "
         f"earned={sum(a for a, _ in earned) / n:.4f}->{sum(b for _, b in earned) / n:.4f} "
         f"least_gain={min(b - a for a, b in earned):+.4f} "
         f"worst_10s={sum(a for a, _ in worst) / n:.4f}->{sum(b for _, b in worst) / n:.4f} "
--- a/valeturn/options/sections.py
+++ b/valeturn/options/sections.py
@@ -8,10 +8,11 @@
 
 from ..control.options import SHAPE as CONTROL
 from ..levels import options as levels
+from ..metrics.options import SHAPE as METRICS
 from ..store.options import SHAPE as STORE
 from . import schema
 
-SHAPES = (STORE, levels.SHAPE, CONTROL)
+SHAPES = (STORE, levels.SHAPE, CONTROL, METRICS)
 
 
 class Unusable(Exception):
@@ -28,6 +29,7 @@
     "store": lambda built, c: built.fit(c.memory_mb),
     "level": lambda built, c: levels.fit(built, c.names),
     "control": lambda built, c: [],
+    "metrics": lambda built, c: built.fit(c.memory_mb),
 }
 
 
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -6,6 +6,7 @@
   valeturn check [FILE] [--settings FILE]
   valeturn store (inspect | verify | compact) DIR
   valeturn status SOCKET... [--json]
+  valeturn metrics SOCKET
   valeturn level hold NAME --for TIME SOCKET...
   valeturn level free SOCKET...
   valeturn lab restarts [--kills N] [--seed S] [--lanes L] [--keep DIR]
@@ -23,7 +24,8 @@
   what
              is over. The server must not be running on it for the last.
   status     Of running servers, by the control sockets that their operator's files name: level and why, work,
-             answers. `level hold` holds a level by hand for a time, logged; `level free` ends that.
+             answers. `metrics`: the same as Prometheus's text, where [metrics] is on. `level hold` holds a
+             level by hand for a time, logged; `level free` ends that.
   lab        The laboratory: `restarts` kills and restarts a server on loopback and counts effects; `store`
              measures the store beside plain sqlite3; `levels` plays a load in virtual time, with levels and
              without.
@@ -149,6 +151,10 @@
         from ..control.client import status
 
         return status(given["SOCKET"], given["--json"])
+    if given["metrics"]:
+        from ..control.client import metrics
+
+        return metrics(given["SOCKET"][0])
     if given["level"]:
         return level(given)
     if given["lab"]:
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -122,6 +122,7 @@
         if self.kept is not None:
             scheduler.spawn(self.hear_the_disk, name="disk")
         self.open_control()
+        self.open_metrics()
         gc.collect()
         gc.freeze()  # what lives as long as the process is not looked through again
         gc.set_threshold(GARBAGE, 10, 10)
@@ -141,7 +142,25 @@
                 self.counters.add("control.not_open")
                 self.log("control_not_open", {"socket": options.socket, "why": str(error)})
 
-    control = None
+    control = metrics = None
+
+    def open_metrics(self):
+        options = self.options.get("metrics") if self.options is not None else None
+        if options is not None:
+            from ..metrics.text import Metrics
+
+            self.metrics = Metrics(self.status)
+            self.scheduler.spawn(self.write_metrics, options, name="metrics")
+
+    def write_metrics(self, options):
+        while True:
+            try:
+                self.metrics.write(options.file)
+                self.counters.add("metrics.written")
+            except OSError as error:
+                self.counters.add("metrics.failed")
+                self.log("metrics_not_written", {"file": options.file, "why": str(error)})
+            self.scheduler.sleep(options.every)
 
     def hear_the_disk(self):
         """Tells the owner of the module that the store's helper has done something."""
@@ -163,6 +182,10 @@
 
         if isinstance(request, requests.Status):
             return requests.good(status=self.status())
+        if isinstance(request, requests.Metrics):
+            if self.metrics is None:
+                return requests.refused("no metrics are configured")
+            return requests.good(text=self.metrics.text().decode())
         if self.reducing is None:
             return requests.refused("no levels are configured")
         now = self.scheduler.clock()
