valeturn top: several servers at a glance, once a second

Which of several servers is at a level, and why, wanted one question each. A terminal extra (textual), tested on statuses and as a running app.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -163,3 +163,58 @@
     log = (tmp_path / "lane" / "log").read_text()
     assert 'event=level server=lab from=none to=slim why="by hand for 300 s"' in log
     assert "from=slim to=none" in log and not os.path.exists(path)
+
+
+STATUS = {
+    "name": "n3",
+    "version": "0.3.0",
+    "up_s": 12.0,
+    "leaving": False,
+    "out": {"delivered": 30, "turned_back": 4},
+    "beliefs": {
+        "open": 3,
+        "owed": 2,
+        "running": 1,
+        "at_calls": 1,
+        "in_doubt": 0,
+        "calls_out": 1,
+        "link_up": 1,
+        "good": 1,
+        "cpu_share": 0.25,
+        "connections": 9,
+    },
+    "level": {"now": "slim", "for_s": 4.0, "why": "calls.failing > 20 %", "state": "in"},
+}
+
+
+def test_top_shows_each_server_with_what_happens_a_second_and_why():
+    top = pytest.importorskip("valeturn.control.top")
+    before = {**STATUS, "up_s": 10.0, "out": {"delivered": 10}}
+    shown = dict(zip(top.COLUMNS, top.row("p", {"good": True, "status": STATUS}, before, 2.0)))
+    assert (shown["level"], shown["delivered/s"], shown["turned back/s"], shown["state"]) == (
+        "slim",
+        "10.0",
+        "2.0",
+        "good",
+    )
+    assert top.row("p", {"good": False, "why": "can't be asked"}, None, 0.0)[-1] == "can't be asked"
+    assert (
+        top.whys([{"good": True, "status": STATUS}, {"good": False}])
+        == "n3: slim because calls.failing > 20 %"
+    )
+    assert "slim for 4 s because" in requests.human("p", STATUS)
+
+
+def test_top_runs_over_a_server_and_one_that_is_gone(tmp_path, monkeypatch):
+    top = pytest.importorskip("valeturn.control.top")
+    answers = {"here": {"good": True, "status": STATUS}, "gone": {"good": False, "why": "can't be asked"}}
+    monkeypatch.setattr(top, "ask", lambda path, request: answers[path])
+
+    async def play():
+        app = top.Top(["here", "gone"])
+        async with app.run_test() as pilot:
+            await pilot.pause()
+            table = app.query_one(top.DataTable)
+            return [table.get_row_at(n)[0] for n in range(table.row_count)]
+
+    assert asyncio.run(play()) == ["n3", "gone"]
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -7,6 +7,7 @@
   valeturn store (inspect | verify | compact) DIR
   valeturn status SOCKET... [--json]
   valeturn metrics SOCKET
+  valeturn top SOCKET...
   valeturn level hold NAME --for TIME SOCKET...
   valeturn level free SOCKET...
   valeturn lab restarts [--kills N] [--seed S] [--lanes L] [--keep DIR]
@@ -151,6 +152,10 @@
         from ..control.client import status
 
         return status(given["SOCKET"], given["--json"])
+    if given["top"]:
+        from ..control.top import main as top
+
+        return top(given["SOCKET"])
     if given["metrics"]:
         from ..control.client import metrics
 
