--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -128,3 +128,53 @@
     levels.report(tmp_path, "slow", 30.0, *(levels.play("slow", 1, 30.0, on, 1) for on in (False, True)))
     page = (tmp_path / "index.html").read_text()
     assert "levels.png" in page and "earned=" in page and (tmp_path / "levels.png").stat().st_size > 10_000
+
+
+def test_reloads_while_the_log_is_compacted_lose_nothing(tmp_path):
+    """A small store, filled past where compaction begins, with a SIGHUP after every few submissions; then
+    killed."""
+    lane = restarts.Lane(tmp_path, 1, 1, 0)
+
+    async def wait_for(text):
+        for _ in range(400):
+            if text in (tmp_path / "log").read_bytes():
+                return
+            await asyncio.sleep(0.02)
+        raise AssertionError(f"{text} never came")
+
+    async def play():
+        await lane.set_up()
+        small = lane.settings.read_text().replace("8 MB", "1 MB").replace("128 kB", "66 kB")
+        lane.settings.write_text(small.replace("4 MB", "2 MB"))
+        await lane.start()
+        await wait_for(b"event=welcome")
+        gateway = restarts.Gateway(lane.address, 1, lane)
+        done = []
+        for n in range(0, 160, 8):
+            keys = [f"{m:04d}" + "x" * 1900 for m in range(n, n + 8)]
+            got = await asyncio.gather(*(gateway.once(key, "book", 2.0) for key in keys))
+            done += [one for one in got if one.outcome == "delivered"]
+            lane.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+        lane.process.send_signal(signal.SIGUSR1)
+        await wait_for(b"compactions=")
+        assert (tmp_path / "log").read_bytes().count(b"event=reloaded") >= 5
+        await lane.kill()
+        await lane.start()
+        for _ in range(400):
+            again = await gateway.once(done[0].key, "book", 2.0)
+            if again is not None and again.outcome == "delivered":
+                break
+            await asyncio.sleep(0.02)
+        for one in done:
+            again = await gateway.once(one.key, "book", 2.0)
+            assert (again.outcome, again.result) == ("delivered", one.result)
+        gateway.close()
+        await lane.kill()
+        lane.executor.close()
+        for server in lane.servers:
+            server.close()
+        verdict = check(lane.tries, lane.doubled, lane.executor, lane.deaths)
+        assert verdict.good() and len(done) > 40
+
+    asyncio.run(play())
