The change read again: one line of figures, one name for what is set aside, dead parts out

The measurement told its figures twice, a segment set aside had its name made in two places, and the emulator and the conditions carried what nothing used. The help's broken line is whole. No behaviour changes.

--- a/valeturn/lab/emulator.py
+++ b/valeturn/lab/emulator.py
@@ -52,15 +52,15 @@
 class Run:
     """A submission on a server's cores."""
 
-    __slots__ = ("after", "at", "calls", "halted", "left", "number", "since", "state", "sub")
+    __slots__ = ("after", "left", "state", "sub")
 
     def __init__(self, sub, left, after):
         self.sub, self.left, self.after = sub, left, after
-        self.calls = self.state = 0  # state counts what was asked for, so that old ends mean nothing
+        self.state = 0  # counts what was asked for, so that old ends mean nothing
 
 
 class Submission:
-    __slots__ = ("born", "done", "due", "run_for", "slim", "started", "tenant", "tries", "work", "workload")
+    __slots__ = ("born", "done", "due", "slim", "started", "tenant", "tries", "work", "workload")
 
     def __init__(self, born, workload, work, due, tenant):
         self.born, self.workload, self.work, self.due, self.tenant = born, workload, work, due, tenant
@@ -190,8 +190,7 @@
 
     def arrive(self, sub):
         self.numbers += 1
-        world, scene = self.world, self.world.scene
-        w = scene.settings.workloads[sub.workload]
+        world = self.world
         self.subs[self.numbers] = sub
         if self.reducing:
             self.reducing.signals.arrived(world.now, 0.0)
@@ -206,7 +205,7 @@
                     rank=world.chance.share(),
                     memory=8.0,
                     cost_hint=hint,
-                    caller=1 if w else 0,
+                    caller=1,
                 )
             ]
         )
@@ -233,8 +232,7 @@
         sub = self.subs[a.id]
         sub.started = True
         calls = self.world.scene.mix[sub.workload].calls
-        run = self.runs[a.id] = Run(sub, sub.work / 2 if calls else sub.work, sub.work / 2 if calls else None)
-        run.number = a.id
+        self.runs[a.id] = Run(sub, sub.work / 2 if calls else sub.work, sub.work / 2 if calls else None)
 
     def do_halt(self, a):
         if self.runs.pop(a.id, None) is not None or self.calls.pop(a.id, None) is not None:
--- a/valeturn/lab/storebench.py
+++ b/valeturn/lab/storebench.py
@@ -231,6 +231,16 @@
             shutil.rmtree(base, ignore_errors=True)
 
 
+def tell(name, keys, took, cpu, waits, folder, out):
+    print(
+        f"{name}: durable_a_second={keys / took:.0f} cpu_us={1e6 * cpu / keys:.1f} "
+        f"wait_p50_ms={ms(waits, 50):.2f} wait_p99_ms={ms(waits, 99):.2f} wait_most_ms={ms(waits, 100):.2f} "
+        f"disk_mb={size_of(folder) / 1e6:.1f}",
+        file=out,
+        flush=True,
+    )
+
+
 def measure(keys, base, out):
     ours, theirs = base / "kept", base / "sqlite"
     for one in (ours, theirs):
@@ -240,24 +250,12 @@
     key, began, cpu = kept.digest, time.perf_counter(), time.process_time()
     submissions(kept, keys, waits)
     took, cpu = time.perf_counter() - began, time.process_time() - cpu
-    print(
-        f"store: durable_a_second={keys / took:.0f} cpu_us={1e6 * cpu / keys:.1f} "
-        f"wait_p50_ms={ms(waits, 50):.2f} wait_p99_ms={ms(waits, 99):.2f} wait_most_ms={ms(waits, 100):.2f} "
-        f"disk_mb={size_of(ours) / 1e6:.1f}",
-        file=out,
-        flush=True,
-    )
+    tell("store", keys, took, cpu, waits, ours, out)
     waits = HdrHistogram(1, 60_000_000, 3)
     other, began, cpu = Sqlite(theirs), time.perf_counter(), time.process_time()
     other.submissions(keys, key, waits)
     took, cpu = time.perf_counter() - began, time.process_time() - cpu
-    print(
-        f"sqlite3: durable_a_second={keys / took:.0f} cpu_us={1e6 * cpu / keys:.1f} "
-        f"wait_p50_ms={ms(waits, 50):.2f} wait_p99_ms={ms(waits, 99):.2f} wait_most_ms={ms(waits, 100):.2f} "
-        f"disk_mb={size_of(theirs) / 1e6:.1f}",
-        file=out,
-        flush=True,
-    )
+    tell("sqlite3", keys, took, cpu, waits, theirs, out)
     other.db.close()
     # Starts: from the log alone, from a snapshot, and what sqlite3 needs to answer its first question.
     kept.close(10.0)
--- a/valeturn/levels/conditions.py
+++ b/valeturn/levels/conditions.py
@@ -8,7 +8,7 @@
 import functools
 from typing import NamedTuple
 
-from ..options.kinds import FAMILIES, TIMES, Wants
+from ..options.kinds import FAMILIES, Wants
 
 # Signal -> the family of its unit, and the most that it can be. What it is made of stands in signals.py.
 SIGNALS = {
@@ -142,6 +142,3 @@
                 f"from character {max(1, at)} of {text!r}",
             ) from None
         return Condition(tuple(tuple(_one(one) for one in row.children) for row in tree.children))
-
-
-__all__ = ["Condition", "Kind", "One", "SIGNALS", "TIMES"]
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -22,8 +22,7 @@
   check      Read and check a configuration, and say in one line what is wrong with it; with --settings the
              operator's file too, with a line for each thing that is wrong.
   store      Of a folder of kept results: what is in it; whether all of it is whole; write it anew without
-  what
-             is over. The server must not be running on it for the last.
+             what is over. The server must not be running on it for the last.
   status     Of running servers, by the control sockets that their operator's files name: level and why, work,
              answers. `metrics`: the same as Prometheus's text, where [metrics] is on. `level hold` holds a
              level by hand for a time, logged; `level free` ends that.
--- a/valeturn/store/files.py
+++ b/valeturn/store/files.py
@@ -14,6 +14,11 @@
     return f"kept-{number:08d}.log"
 
 
+def damaged(number):
+    """The name of a segment that was set aside."""
+    return f"kept-{number:08d}.damaged"
+
+
 class Files:
     """The real one. Tests put one in its place that fails where they want it to."""
 
--- a/valeturn/store/journal.py
+++ b/valeturn/store/journal.py
@@ -62,8 +62,7 @@
         self.files.sync_folder()
 
     def set_aside(self, number):
-        file = names.name(number)
-        self.files.rename(file, file.replace(".log", ".damaged"))
+        self.files.rename(names.name(number), names.damaged(number))
         self.files.sync_folder()
 
     # A snapshot is written under another name, made durable, then takes its own at once.
--- a/valeturn/store/log.py
+++ b/valeturn/store/log.py
@@ -8,6 +8,7 @@
 
 import time
 
+from . import files as names
 from . import records, upkeep
 from .bounds import usable
 from .clock import Clock
@@ -251,7 +252,7 @@
         self.helper.ask(("job", "set_aside", None), self.journal.set_aside, number)
         while len(self.aside) > self.bounds.damaged:
             gone = self.aside.pop(0)
-            self.helper.ask(("job", "drop", None), self.files.remove, f"kept-{gone:08d}.damaged")
+            self.helper.ask(("job", "drop", None), self.files.remove, names.damaged(gone))
 
     def used(self):
         return sum(segment.size for segment in self.found.segments.values())
