--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -19,6 +19,24 @@
         return restarts(
             number(given, "--kills"), number(given, "--seed"), number(given, "--lanes"), given["--keep"]
         )
+    if given["fleet-days"]:
+        from .fleetdays.main import days_named
+        from .fleetdays.main import main as fleet_days
+
+        try:
+            names = days_named(given["--day"])
+        except KeyError as unknown:
+            raise SystemExit(f"valeturn: --day wants all or names of days, has {unknown.args[0]!r}") from None
+        first = number(given, "--seed")
+        return fleet_days(
+            names,
+            range(first, first + max(1, number(given, "--seeds"))),
+            number(given, "--servers"),
+            number(given, "--gateways"),
+            number(given, "--seconds"),
+            given["--against"].split(",") if given["--against"] else (),
+            sys.stdout,
+        )
     if given["levels"]:
         from .levels import SHAPES
         from .levels import main as levels
--- a/valeturn/lab/emulator.py
+++ b/valeturn/lab/emulator.py
@@ -107,7 +107,7 @@
         self.numbers = getattr(self, "numbers", 0)
         self.busy = 0.0
         s = scene.settings._replace(cold=cold)
-        self.rules = Rules(s, self.seed, now)
+        self.rules = self.world.make_rules(s, self.seed, now)
         self.reducing = Reducing(now, scene.levels, s, self.count, lambda *_: None) if scene.levels else None
         self.decide(self.reducing.told(now, [], {}) if self.reducing else [])
 
@@ -152,14 +152,17 @@
         for number, run in list(self.runs.items()):
             if run.left <= 1e-9:
                 del self.runs[number]
-                if run.after is not None:
-                    run.left, run.after = run.after, None
-                    self.calls[number] = run
-                    events.append(it.AtCall(number))
-                else:
-                    events.append(self.over(number, run))
+                events += self.run_reached(number, run)
         self.decide(events)
 
+    def run_reached(self, number, run):
+        """What the module is told of a run that has come to its call or its end."""
+        if run.after is not None:
+            run.left, run.after = run.after, None
+            self.calls[number] = run
+            return [it.AtCall(number)]
+        return [self.over(number, run)]
+
     def over(self, number, run):
         sub = self.subs.pop(number)
         self.world.answered(self, sub, "delivered")
@@ -243,9 +246,11 @@
         sub = self.subs.pop(a.id)
         if sub.started:
             self.world.totals.refused_after_start += 1
+            self.runs.pop(a.id, None)
+            self.calls.pop(a.id, None)
         if self.reducing:
             self.reducing.signals.turned_back(self.world.now)
-        self.world.turned_back(sub, a.retry_in)
+        self.world.turned_back(self, sub, a)
 
     def do_write_off(self, a):
         sub = self.subs.get(a.id)
@@ -301,7 +306,8 @@
         self.totals, self.calls_out = Totals(scene), 0
         for _ in range(8):
             self.chance.share()  # seeds side by side begin alike
-        self.servers = [Server(self, n, False, seed * 1000 + n) for n in range(scene.servers)]
+        self.demand = self.chance  # for what callers want; a stream of its own is the same for any policy
+        self.servers = [self.make_server(n, seed * 1000 + n) for n in range(scene.servers)]
         self.lists = [(0.0, list(self.servers))]  # (from when, those on callers' lists)
         for server in self.servers:
             self.at(SWEEP * self.chance.share(), server.wake)
@@ -309,6 +315,12 @@
             self.at(t, self.crash, share, down, cold)
         self.at(0.0, self.next_arrival)
 
+    def make_server(self, n, seed):
+        return Server(self, n, False, seed)
+
+    def make_rules(self, settings, seed, now):
+        return Rules(settings, seed, now)
+
     def at(self, when, action, *args):
         self.sequence += 1
         heapq.heappush(self.heap, (when, self.sequence, action, args))
@@ -328,7 +340,7 @@
         if rate > 0:
             self.submit()
         if self.now < self.scene.seconds:
-            self.at(self.now - math.log(1 - self.chance.share()) / max(1e-3, rate), self.next_arrival)
+            self.at(self.now - math.log(1 - self.demand.share()) / max(1e-3, rate), self.next_arrival)
 
     def submit(self):
         draw, workload = self.chance.share(), 0
@@ -353,12 +365,12 @@
         server = listed[int(self.chance.share() * len(listed))] if listed else None
         sub.tries += 1
         if server is None or not server.up:
-            self.turned_back(sub, 0.0)
+            self.turned_back(server, sub)
         else:
             server.arrive(sub)
 
-    def turned_back(self, sub, retry_in):
-        wait = max(BACK_OFF, retry_in) * (0.75 + 0.5 * self.chance.share())
+    def turned_back(self, server, sub, action=None):
+        wait = max(BACK_OFF, action.retry_in if action else 0.0) * (0.75 + 0.5 * self.chance.share())
         if sub.tries < TRIES and self.now + wait < sub.due:
             self.at(self.now + wait, self.send, sub)
             return
--- /dev/null
+++ b/valeturn/lab/fleetdays/plainer.py
@@ -0,0 +1,79 @@
+"""Plainer policies with the module's way to be called, to hold it against."""
+
+from __future__ import annotations
+
+import importlib.util
+import pathlib
+
+from ... import interface as it
+
+RUNS, WAITING = 2, 4  # a core: a plain pool with a short queue
+SWEEP = 0.1  # s, as often as the module looks
+LAST = 0.3  # s before a due time at which what waits is given up
+
+
+class Pool:
+    """Arrival order, two runs and four waiting a core; calls at once and once; nothing else is known."""
+
+    def __init__(self, settings, seed, now):
+        self.s, self.held, self.running, self.leave_at, self.stop_at = settings, {}, {}, None, None
+        self.awake = False
+
+    def decide(self, now, events):
+        out = [] if self.awake else [it.Health(True, True), it.Wake(SWEEP, 0)]
+        self.awake = True
+        for e in events:
+            if isinstance(e, it.Arrived):
+                self.arrived(now, e, out)
+            elif isinstance(e, it.Ended):
+                self.running.pop(e.id, None)
+            elif isinstance(e, it.Gone):
+                if self.held.pop(e.id, None) is None and e.id in self.running:
+                    out.append(it.Halt(e.id))
+            elif isinstance(e, it.AtCall):
+                out.append(it.Call(e.id, max(0.05, min(2.0, self.running[e.id][0] - now - LAST))))
+            elif isinstance(e, it.CallEnded) and e.outcome is not it.Outcome.DONE and e.id in self.running:
+                w = self.s.workloads[self.running[e.id][1]]
+                out.append(it.GoWithout(e.id) if w.poorer_share else it.WriteOff(e.id))
+            elif isinstance(e, it.Leave):
+                self.leave_at, self.stop_at = now, now + e.left
+            elif isinstance(e, it.Woken):
+                self.sweep(now, out)
+        while self.held and len(self.running) < RUNS * self.s.cores:
+            first = next(iter(self.held))
+            self.running[first] = self.held.pop(first)
+            out.append(it.Start(first))
+        return out
+
+    def arrived(self, now, e, out):
+        late = self.leave_at is not None and now - e.waited > self.leave_at + self.s.drain_grace - self.s.tick
+        if late or len(self.held) >= WAITING * self.s.cores:
+            out.append(it.TurnBack(e.id, 0.0, False))
+        else:
+            self.held[e.id] = (now + e.left, e.workload)
+
+    def sweep(self, now, out):
+        last = now + LAST if self.stop_at is None else max(now + LAST, self.stop_at and now + LAST)
+        for number, (due, _) in list(self.held.items()):
+            if due <= last or self.stop_at is not None and now + LAST >= self.stop_at:
+                del self.held[number]
+                out.append(it.TurnBack(number, 0.0, False))
+        for number, (due, workload) in list(self.running.items()):
+            if due <= last or self.stop_at is not None and now + LAST >= self.stop_at:
+                self.running[number] = (float("inf"), workload)
+                out += [it.WriteOff(number), it.Halt(number)]
+
+
+def policy(name):
+    """(a name to print, what makes the rules): `module`, `pool`, or a file that holds an earlier module."""
+    if name == "module":
+        from ...rules import Rules
+
+        return name, Rules
+    if name == "pool":
+        return name, Pool
+    path = pathlib.Path(name)
+    spec = importlib.util.spec_from_file_location("valeturn.rules_held_against", path)
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return path.name, module.Rules
--- /dev/null
+++ b/valeturn/lab/fleetdays/servers.py
@@ -0,0 +1,163 @@
+"""One emulated server of a fleet: its process reads one by one, a crowd slows its cores, it drains, dies."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from ... import interface as it
+from ..emulator import Server
+from . import witness as seen
+from .days import NEVER, READ, zone_of
+
+HANDSHAKE = 0.0005  # s of the process for a new connection
+THRASH, THRASH_AT = 0.7, 1.35  # past so many on each core, so much of the whole is lost for each more
+FALL = 3.0  # s over the crowd that it survives, after which it falls over
+RESTART = 5.0  # s until one that fell is back
+
+
+class FleetServer(Server):
+    def __init__(self, world, name, seed):
+        self.life = 0
+        self.zone = zone_of(name, world.day.zones)
+        super().__init__(world, name, False, seed)
+
+    def start(self, cold):
+        self.life += 1
+        self.unread, self.reading = deque(), None
+        self.level = self.grace_over = None
+        self.refusing = False
+        self.crowded_since = NEVER
+        super().start(cold)
+
+    # ---- cores
+
+    def speed(self):
+        cores = self.world.scene.settings.cores
+        over = len(self.runs) / cores - THRASH_AT
+        return super().speed() * self.world.slowness(self.name) / (1 + THRASH * max(0.0, over))
+
+    def wake(self):
+        if self.up:
+            now, most = self.world.now, self.most_crowd()
+            if len(self.runs) <= most:
+                self.crowded_since = NEVER
+            elif self.crowded_since == NEVER:
+                self.crowded_since = now
+            elif now - self.crowded_since > FALL:
+                self.world.witness.fell += 1
+                self.world.lost(self, silent=False)
+                self.world.at(now + RESTART, self.world.back, self, True)
+                return
+        super().wake()
+
+    def most_crowd(self):
+        s = self.world.scene.settings
+        return s.cores * s.crowd_factor
+
+    # ---- the way in
+
+    def offered(self, attempt, fresh):
+        """A submission is written to a connection of this server."""
+        if not self.up or self.refusing:
+            attempt.gateway.unreached(attempt)
+            return
+        attempt.read_at, attempt.life = self.world.now, self.life
+        self.world.at(attempt.due, attempt.gateway.timed_out, attempt)
+        self.world.at(attempt.due + seen.SLACK, self.world.witness.due, attempt)
+        self.unread.append((attempt, READ + HANDSHAKE * fresh))
+        if self.reading is None:
+            self.read_next()
+
+    def read_next(self):
+        self.reading = None
+        if self.unread:
+            self.reading, takes = self.unread.popleft()
+            self.world.at(self.world.now + takes, self.was_read, self.life)
+
+    def was_read(self, life):
+        if not self.up or life != self.life:
+            return
+        attempt = self.reading
+        self.read_next()
+        if attempt.taken_back:
+            return
+        asked = attempt.asked
+        self.numbers += 1
+        self.subs[self.numbers] = attempt
+        self.decide([it.Arrived(
+            id=self.numbers, workload=asked.workload, tenant=asked.tenant, rank=asked.rank, memory=8.0,
+            waited=self.world.now - attempt.born, left=max(0.0, attempt.due - self.world.now),
+            cost_hint=asked.hint, caller=attempt.gateway.number)])
+
+    def over(self, number, run):
+        if self.world.fails(self.name):
+            self.world.answered(self, self.subs.pop(number), seen.WRITTEN_OFF)
+            return it.Ended(number, it.Outcome.ERROR, 0.0)
+        return super().over(number, run)
+
+    def taken_back(self, attempt):
+        if not self.up or attempt.life != self.life or attempt.answers:
+            return
+        attempt.taken_back = True
+        number = next((n for n, one in self.subs.items() if one is attempt), None)
+        if number is None:
+            return
+        events = [it.Gone(number)]
+        if number in self.calls:  # the executor ends a run at its call once the caller has gone
+            del self.calls[number], self.subs[number]
+            events.append(it.Ended(number, it.Outcome.CANCELLED, 0.0))
+        elif number not in self.runs:
+            del self.subs[number]
+        self.decide(events)
+
+    # ---- what the module asks for
+
+    def do_start(self, a):
+        if a.id in self.subs:
+            self.world.witness.began(self.subs[a.id], self, self.world.now)
+            super().do_start(a)
+
+    def do_health(self, a):
+        self.good = a.good
+
+    def do_say(self, a):
+        self.level = a.value
+
+    DOES = {**Server.DOES, it.Start: do_start, it.Health: do_health, it.Say: do_say}
+
+    # ---- the way out
+
+    def open_ones(self):
+        reading = () if self.reading is None else (self.reading,)
+        return [*{id(one): one for one in self.subs.values()}.values(), *reading,
+                *(attempt for attempt, _ in self.unread)]
+
+    def leave(self, notice):
+        """The notice to drain: the stop follows by so many seconds."""
+        if self.up:
+            s = self.world.scene.settings
+            self.grace_over = self.world.now + s.drain_grace
+            self.world.at(min(self.grace_over, self.world.now + notice), self.refuse, self.life)
+            self.world.at(self.world.now + notice, self.stopped, self.life)
+            self.decide([it.Leave(notice - 0.15)])
+
+    def refuse(self, life):
+        if self.life == life:
+            self.refusing = True
+
+    def stopped(self, life):
+        if self.up and self.life == life:
+            self.world.witness.stopped(self.open_ones())
+            self.crash()
+
+    def crash(self):
+        """Whatever was open ends with it; its callers see their connections break."""
+        self.up = False
+        for attempt in self.open_ones():
+            if not attempt.answers:
+                self.world.at(self.world.now, self.broke, attempt)
+        self.runs, self.calls, self.subs, self.unread, self.reading = {}, {}, {}, deque(), None
+
+    def broke(self, attempt):
+        if not self.world.cut(attempt.gateway, self):
+            attempt.gateway.broken(attempt)
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -13,6 +13,8 @@
   valeturn lab restarts [--kills N] [--seed S] [--lanes L] [--keep DIR]
   valeturn lab store [--keys N] [--folder DIR]
   valeturn lab levels [--shape NAME] [--minutes M] [--servers N] [--seed S] [--seeds N] [--report DIR]
+  valeturn lab fleet-days [--day NAMES] [--servers N] [--gateways G] [--seconds T] [--seed S] [--seeds N]
+                          [--against POLICIES]
   valeturn version
   valeturn --help
 
@@ -28,7 +30,7 @@
              level by hand for a time, logged; `level free` ends that.
   lab        The laboratory: `restarts` kills and restarts a server on loopback and counts effects; `store`
              measures the store beside plain sqlite3; `levels` plays a load in virtual time, with levels and
-             without.
+             without; `fleet-days` plays the days that hurt a whole fleet, in virtual time.
   version    Print the version.
 
 Options:
@@ -43,6 +45,10 @@
   --shape NAME     Of load: steady step sine burst slow failing lost [default: sine].
   --minutes M      Of virtual time [default: 10].
   --servers N      Emulated servers [default: 20].
+  --day NAMES      all, or of calm roll herd zone split join, with commas [default: all].
+  --gateways G     Emulated gateways [default: 10].
+  --seconds T      Of virtual time [default: 40].
+  --against POLICIES  Played on the same demand: pool, or a file with an earlier module; with commas.
   --seeds N        How many seeds, from --seed on [default: 1].
   --report DIR     Write an HTML page with plots there (pip install -r requirements-lab.txt).
   --keep DIR       Keep the logs and folders there.
