--- a/valeturn/routing/naming.py
+++ b/valeturn/routing/naming.py
@@ -6,14 +6,15 @@
 from ..transport.chance import Backoff
 from .exchange import Failure, Stage, exchange
 
-EVERY = 0.7  # s between reports: four fit into the 3 s after which a silent server leaves the list
+EVERY = 0.7  # s between reports at most: four fit into the 3 s after which a silent server leaves the list
+APART = 0.2  # of it by chance: hundreds of servers that start at one moment do not report in step for ever
 PATIENCE = 0.5  # s for one: with EVERY less than half of the 3 s, so that one hung report leaves room for two
 
 
 class Reporter:
     def __init__(self, scheduler, address, name, chance, count):
         self.scheduler, self.name, self.count = scheduler, name, count
-        self.backoff = Backoff(chance, 0.05, EVERY)
+        self.chance, self.backoff = chance, Backoff(chance, 0.05, EVERY)
         self.serving = self.idle = self.again = False
         self.reported_at = scheduler.clock()  # the last that may have counted
         self.move(address)
@@ -44,9 +45,12 @@
                 self.backoff.reset()
             if not self.again:
                 self.idle = True
-                self.scheduler.wait(EVERY if sent else self.backoff.next())
+                self.scheduler.wait(self.every() if sent else self.backoff.next())
                 self.idle = False
 
+    def every(self):
+        return EVERY * (1 - APART * self.chance.share())
+
     def report(self):
         """True where it may have counted: one that was sent whole and then met silence counts as sent."""
         body = b'{"serving":"%s"}' % (b"yes" if self.serving else b"no")
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -68,6 +68,7 @@
 STALL = 0.5  # s unread on the mean, a few times what reading takes when all cores are busy
 FEW, USED, SHORT = 10, 2.0, 0.1  # connections a core that are no burden; s between uses; s kept when too many
 BACK = 0.3  # share turned back from which reading it costs more than a level that errs (0.05 was too eager)
+CALLERS = 1024  # (caller, workload) pairs remembered: some hundred callers at once; ids may be ever new
 SPARES = 4  # a core: more than can start within a goal, few enough to look through at each event
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
 # Least waits: ten mean calls, 24 where a call can't be made again; what is silent for longer hardly answers.
@@ -164,10 +165,12 @@
         age = 0.0
         if e.left is not None:
             wait = left + e.waited
-            usual, votes = self.usual.get((e.caller, e.workload), (wait, 0))
+            usual, votes = self.usual.pop((e.caller, e.workload), (wait, 0))
             votes = min(20, votes + 1) if abs(wait - usual) < 0.02 else votes - 1
-            self.usual[e.caller, e.workload] = (usual, votes) if votes >= 0 else (wait, 1)
-            age = max(0.0, self.usual[e.caller, e.workload][0] - wait)
+            self.usual[e.caller, e.workload] = usual, votes = (usual, votes) if votes >= 0 else (wait, 1)
+            age = max(0.0, usual - wait)
+            if len(self.usual) > CALLERS:  # the one that was heard of the longest ago
+                del self.usual[next(iter(self.usual))]
         self.seq, due = self.seq + 1, max(self.now, self.now + left)
         goal = min(w.latency_goal + w.goal_stretch * cost, w.cut_off)
         sub = SimpleNamespace(
--- a/valeturn/transport/signals.py
+++ b/valeturn/transport/signals.py
@@ -1,11 +1,11 @@
-"""Signals as bytes on a socket: the handlers do nothing, a task reads the numbers and acts on them."""
+"""Signals as bytes in a pipe: the handlers do nothing, a task reads the numbers and acts on them."""
 
 from __future__ import annotations
 
+import os
 import signal
-import socket
 
-from .streams import Stream
+from .scheduler import READ
 
 
 HELD = []  # numbers that came before a Signals took over
@@ -20,10 +20,11 @@
     def __init__(self, scheduler, actions):
         """actions: signal number -> function, called in a task."""
         self.actions = actions
-        end, self.other = socket.socketpair()
-        self.other.setblocking(False)
-        self.stream = Stream(scheduler, end)
-        signal.set_wakeup_fd(self.other.fileno(), warn_on_full_buffer=False)
+        self.scheduler = scheduler
+        self.end, other = os.pipe()  # not a pair of sockets: those are Unix sockets, which a platform may bar
+        for fd in (self.end, other):
+            os.set_blocking(fd, False)
+        signal.set_wakeup_fd(other, warn_on_full_buffer=False)
         for number in actions:
             signal.signal(number, lambda *_: None)
         scheduler.spawn(self.run, name="signals")
@@ -33,9 +34,11 @@
 
     def run(self):
         while True:
-            got = self.stream.read()
-            if not isinstance(got, bytes):
-                return
+            self.scheduler.wait_fd(self.end, READ)
+            try:
+                got = os.read(self.end, 64)
+            except BlockingIOError:
+                continue
             for number in got:
                 if number in self.actions:
                     self.actions[number]()
