--- a/valeturn/interface.py
+++ b/valeturn/interface.py
@@ -142,6 +142,7 @@
     within_share: bool = False  # newcomers of a tenant beyond its share are turned back
     least_rank: float = 0.0  # and those that rank below
     turn_back: frozenset = frozenset()  # and those of these workloads
+    spared: float = 0.0  # share of all, from the highest rank down, that none of this touches
 
 
 class Level(NamedTuple):
--- a/valeturn/levels/decision.py
+++ b/valeturn/levels/decision.py
@@ -3,20 +3,27 @@
 A level is entered once its condition has held as long as it says, one rank at a time, but at once to the
 worst whose condition holds in an emergency: two ranks or more above the present one. It is left, once its
 leave condition has held and its least stay is over, for the next lower one whose own leave condition does not
-hold, or for none. Coming back soon doubles the stay.
+hold, or for none.
+
+What a level relieves looks well because of the level: its leave condition may hold only while it does. So it
+is left on trial, for the last part of its stay: more and more of the submissions, from the highest rank down,
+are spared what it gives up. Should its own condition begin to hold meanwhile, it holds in full again, never
+having been left, and the stay doubles. Coming back soon after it was left doubles the stay as well; a stay
+that was doubled is halved again for each quiet while, as it was learnt.
 """
 
 from __future__ import annotations
 
 from typing import NamedTuple
 
-# CALM: no level. IN: a level by its condition. PINNED: one by hand, for a time.
-CALM, IN, PINNED = range(3)
-STATES = ("calm", "in", "pinned")
+# CALM: no level. IN: a level by its condition. TRIAL: one on its way out. PINNED: one by hand, for a time.
+CALM, IN, TRIAL, PINNED = range(4)
+STATES = ("calm", "in", "on trial", "pinned")
 # WORSE: the condition of a higher one holds. BETTER, WELL: the leave condition holds and the stay is over,
 # with a lower level to go to or none. PIN, UNPIN: by hand, and its end. LOST: the level is gone from the
-# configuration. COLD: as WORSE, of a server that warms up.
-WORSE, BETTER, WELL, PIN, UNPIN, LOST, COLD = range(7)
+# configuration. COLD: as WORSE, of a server that warms up. MILD: the leave condition holds and the stay is
+# over but for the trial. AGAIN: on trial, its own condition begins to hold or the leave condition ends.
+WORSE, BETTER, WELL, PIN, UNPIN, LOST, COLD, MILD, AGAIN = range(9)
 
 # (state, input) -> (next state, effect). A missing pair changes nothing: COLD alone never enters a level by
 # condition, as what a cold server sees of its own cores is its warming up.
@@ -24,16 +31,23 @@
     (CALM, WORSE): (IN, "up"),
     (CALM, PIN): (PINNED, "pin"),
     (IN, WORSE): (IN, "up"),
-    (IN, BETTER): (IN, "down"),
-    (IN, WELL): (CALM, "down"),
+    (IN, MILD): (TRIAL, "try_out"),
     (IN, PIN): (PINNED, "pin"),
     (IN, LOST): (CALM, "drop"),
+    (TRIAL, WORSE): (IN, "up"),
+    (TRIAL, AGAIN): (IN, "back_in"),
+    (TRIAL, BETTER): (IN, "down"),
+    (TRIAL, WELL): (CALM, "down"),
+    (TRIAL, PIN): (PINNED, "pin"),
+    (TRIAL, LOST): (CALM, "drop"),
     (PINNED, PIN): (PINNED, "pin"),
     (PINNED, UNPIN): (CALM, "unpin"),
     (PINNED, LOST): (CALM, "drop"),
 }
 SOON = 60.0  # s after a return in which coming back counts as flapping
 STAY_MOST = 8.0  # times its least stay that a level is kept at the most, after three soon returns
+STEPS = 4  # of a trial: a quarter more each time is less than the room in which a crowded dependency holds
+STEP = 0.5  # s: half of the time in which the signals fade; twice that kept levels past their trouble
 CHANGES = 6  # a minute at the most; past it a level is entered but not left
 EMERGENCY = 2  # ranks by which a worse one is entered at once, past those between
 
@@ -68,6 +82,10 @@
     def met(self, now, read, usual):
         return any(all([self._one(now, one, read, usual) for one in row]) for row in self.condition.rows)
 
+    def begins(self, read, usual):
+        """True where a row of comparisons holds at this moment, however long it has to."""
+        return any(all(one.holds(read, usual) for one in row) for row in self.condition.rows)
+
     def _one(self, now, one, read, usual):
         holds = one.holds(read, usual)
         if holds is None:
@@ -97,6 +115,7 @@
         self.leaves = {level.name: Holding(level.leave, True) for level in self.levels}
         self.factor = {level.name: 1.0 for level in self.levels}
         self.left = {}  # name -> when it was left last
+        self.tried_at = None  # since when the present one is on trial
 
     def level(self):
         return next((level for level in self.levels if level.name == self.at), None)
@@ -116,17 +135,24 @@
         if worse:
             target = worse[-1] if worse[-1].rank - rank >= EMERGENCY else worse[0]
             return self._move(COLD if cold else WORSE, now, target, str(target.enter))
-        if (
-            level is not None
-            and leaves[level.name]
-            and not met[level.name]
-            and (now - self.entered >= level.stay * self.factor[level.name] and len(self.changes) < CHANGES)
-        ):
-            below = [one for one in self.levels if one.rank < level.rank and not leaves[one.name]]
-            target = below[-1] if below else None
-            return self._move(BETTER if below else WELL, now, target, str(level.leave))
+        if level is None:
+            return out
+        well = leaves[level.name] and not met[level.name]
+        if self.state == TRIAL:
+            if not well or self.enters[level.name].begins(read, usual):
+                return self._move(AGAIN, now, level, str(level.enter))
+            if now - self.tried_at >= STEPS * STEP and len(self.changes) < CHANGES:
+                below = [one for one in self.levels if one.rank < level.rank and not leaves[one.name]]
+                target = below[-1] if below else None
+                return self._move(BETTER if below else WELL, now, target, str(level.leave))
+        elif well and now - self.entered >= level.stay * self.factor[level.name] - STEPS * STEP:
+            self._move(MILD, now, level, str(level.leave))
         return out
 
+    def spared(self, now):
+        """The share that the present level does not touch: 0 but on trial; by steps up to four fifths."""
+        return 0.0 if self.state != TRIAL else min(STEPS, 1 + int((now - self.tried_at) / STEP)) / (STEPS + 1)
+
     def pin(self, now, name, seconds):
         """By hand; None where there is no such level."""
         target = next((level for level in self.levels if level.name == name), None)
@@ -152,11 +178,19 @@
         return [Change(before, self.at, why)]
 
     def do_up(self, now, target):
-        left = self.left.get(target.name)
-        soon = left is not None and now - left < SOON
-        self.factor[target.name] = min(STAY_MOST, 2 * self.factor[target.name]) if soon else 1.0
+        quiet = now - self.left.get(target.name, -1e9)
+        factor = self.factor[target.name]
+        self.factor[target.name] = min(STAY_MOST, 2 * factor) if quiet < SOON else max(
+            1.0, factor * 0.5 ** min(9.0, quiet / SOON))
         self.at, self.entered = target.name, now
 
+    def do_try_out(self, now, target):
+        self.tried_at = now
+
+    def do_back_in(self, now, target):
+        self.factor[target.name] = min(STAY_MOST, 2 * self.factor[target.name])
+        self.entered = now
+
     def do_down(self, now, target):
         self.left[self.at] = now
         self.at, self.entered = (None if target is None else target.name), now
--- a/valeturn/routing/reduced.py
+++ b/valeturn/routing/reduced.py
@@ -15,6 +15,7 @@
         self.settings, self.count, self.log = settings, count, log
         self.decision, self.signals = Decision(levels, now), Signals(now)
         self.times, self.since, self.why, self.swept = {}, now, "", now
+        self.spared = 0.0  # as the module was told last
 
     def call_ended(self, now, outcome, took):
         if outcome is not it.Outcome.CANCELLED and outcome is not it.Outcome.MOOT:
@@ -34,7 +35,13 @@
             self.signals.learn(now, read)
         else:
             self.signals.rest(now)
-        return self.told(now, self.decision.step(now, read, self.signals.usual, cold), read)
+        told = self.told(now, self.decision.step(now, read, self.signals.usual, cold), read)
+        spared = self.decision.spared(now)
+        if spared != self.spared:
+            self.count("levels.trials") if not self.spared else None
+            self.spared = spared
+            told = [self.event()]
+        return told
 
     def hold(self, now, name, seconds):
         """By hand; None where there is no such level."""
@@ -57,7 +64,7 @@
 
     def event(self):
         level = self.decision.level()
-        return it.Level(it.Reduced() if level is None else level.gives)
+        return it.Level(it.Reduced() if level is None else level.gives._replace(spared=self.spared))
 
     def figures(self, now):
         """For the counters: which level, since when and why, and the seconds in each so far."""
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -177,7 +177,7 @@
             id=e.id, workload=e.workload, tenant=e.tenant, memory=e.memory, repeats=e.repeats, seq=self.seq,
             told=e.left is not None, retry=e.retry, hint=hint, cost=cost, progress=0.0,  # work, and done
             reached=self.now - e.waited, due=due, goal_by=min(self.now - e.waited - age + goal, due),
-            state=HELD, ran=False, owed=True, spare=False, since=self.now, room_in=e.room_in,
+            state=HELD, ran=False, owed=True, spare=False, since=self.now, room_in=e.room_in, standing=e.rank,
             tries=0, called=0.0, called_at=0.0, reserved=0.0)  # its calls: tries, time in all, the one out
         self.door.add(self.now, 0, 1, 0, e.waited)
         self.live[sub.id] = sub
@@ -213,6 +213,8 @@
     def given_up(self, sub, rank):
         """Newcomers that the present level of reduced service has no room for; repeats are none."""
         r = self.reduced
+        if rank >= 1 - r.spared:
+            return False
         beyond = r.within_share and sub.tenant is not None and self.within(sub.tenant) < 1.0
         return sub.workload in r.turn_back or rank < r.least_rank or beyond
 
@@ -540,7 +542,8 @@
         # Those that cannot go without come first, as a slow dependency leaves credit for few.
         standing = [sub for sub in self.live.values() if sub.state == AT_CALL]
         for sub in sorted(standing, key=lambda sub: (self.can_skip(sub), sub.goal_by)):
-            without = sub.workload in self.reduced.without_call or self.now >= self.skip_at(sub)
+            reduced = sub.workload in self.reduced.without_call and sub.standing < 1 - self.reduced.spared
+            without = reduced or self.now >= self.skip_at(sub)
             if self.can_skip(sub) and without:
                 self.step(sub, SKIP)
             elif self.credit >= self.least_wait() + self.s.call_linger:
