Calls that get slow are learnt in a few; what few turn back may go on to others

Probe in one server's turns, second 1009: calls standing 7 to 8, calls out 0 or 1, credit 0.2 to 0.4 of 0.825, mean believed 0.047 s. Probe of calls with one in four waiting 3 s: calls take 0.09 s at the median and 0.24 at nine in ten then (0.008 before), 390 a second are made of 1,220 wanted, one in five is given up. Each costs its wait and the linger, an appraisal is written off with it; estimates stand at their call until their goal is near and all come back to the cores at once (busy 0.34 at 1007, 0.99 at 1011). Ruled out: the dependency's cap (a third of the share was in use), unread or lost submissions (rules kept, waits unread as before), CPU of the process (0.1 of a core at the most). Lines at fault: least_wait's mean of ten seconds over twenty quick calls; its bound above what may be saved; serve_calls, which lets who can go without stand until skip_at.

Change: the middle of the last calls by one number that each call moves (a silent one moves it no more than any); the least wait at most half of what may be saved; who would stand longer than a call takes goes without at once. Who is turned back is asked not to go on only past a quarter turned back, never for the server's own trouble or in a drain.

Going on where reading is cheap, by the unread wait: never met, reading waits 0.2 to 0.4 s there.

--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -69,10 +69,12 @@
 FEW, USED, SHORT = 10, 2.0, 0.1  # connections a core that are no burden; s between uses; s kept when too many
 BACK = 0.3  # share turned back from which reading it costs more than a level that errs (0.05 was too eager)
 CALLERS = 1024  # (caller, workload) pairs remembered: some hundred callers at once; ids may be ever new
+ROOM = 0.25  # share turned back up to which others likely take more: a third more doors (0.15, 0.3 tried)
 SPARES = 4  # a core: more than can start within a goal, few enough to look through at each event
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
 # Least waits: ten mean calls, 24 where a call can't be made again; what is silent for longer hardly answers.
 PATIENCE, LAST_PATIENCE = 2.5, 6.0
+MIDDLE = 1.5  # by which a call moves the middle one: ten times slower is learnt in six, noise stays in two
 CALLS_RATE, CALLS_SAVED = 0.7, 0.25  # of the share of calls: together under 1, so no window passes it
 
 
@@ -105,6 +107,7 @@
         # call-seconds that may still be spent at the dependency, and when that was brought up to date
         self.credit, self.credit_at = CALLS_SAVED * settings.calls_share * settings.calls_window, now
         self.calls = Fading(10.0, 2, now)  # time and count of calls that ended well, or late
+        self.middle = 0.0  # about the median time of the last few calls, those that ran out of time above it
         self.gauges, self.limit_used = it.Gauges(), False
         self.pressed, self.limit, self.cut_at = False, float(settings.cores), now
         self.leave_at = self.stop_at = None
@@ -208,6 +211,9 @@
     def on_call_ended(self, sub, e):
         if e.outcome is Outcome.DONE or e.took > self.least_wait():  # late ones tell of a slow dependency
             self.calls.add(self.now, 0, e.took, 1)
+            above = e.outcome is not Outcome.DONE or e.took > self.middle
+            moved = self.middle * (MIDDLE if above else 1 / MIDDLE)
+            self.middle = min(self.s.calls_window, moved) if self.middle else e.took / MIDDLE
         self.step(sub, CALL_INPUT[e.outcome])
 
     def given_up(self, sub, rank):
@@ -267,7 +273,9 @@
         # for the quickest server, or the least busy one, to the one that turns most back.
         away = 1.0 if self.stop_at is not None or self.local_trouble() else back / max(read, back)
         away = max(away * self.s.longest_advice, min(sub.room_in, self.s.longest_advice))
-        self.out.append(TurnBack(sub.id, away, self.stop_at is None))
+        # What this server's own trouble turns back another may take; else all would go through all doors.
+        others = self.stop_at is not None or self.local_trouble() or back < ROOM * read
+        self.out.append(TurnBack(sub.id, away, not others))
 
     def do_refuse_repeat(self, sub):
         first = self.live.get(sub.repeats)
@@ -317,10 +325,17 @@
         sub.called_at, self.credit = self.now, self.credit - sub.reserved
         self.out.append(it.Call(sub.id, wait))
 
-    def least_wait(self):
-        """Four mean calls, 50 ms at least: too short a wait gives up calls that would have ended well."""
+    def call_time(self):
+        """What a call takes: a mean of ten seconds, or more where the last few tell so: their middle one, no
+        slower for one that is never answered; a mean of so few would be."""
         time, count = self.calls.read(self.now)
-        return max(0.05, 4 * time / count if count > 0.1 else 0.1)
+        return max(time / count if count > 0.1 else 0.025, MIDDLE * self.middle)
+
+    def least_wait(self):
+        """Four calls, 50 ms at least: too short a wait gives up calls that would have ended well. Longer than
+        half of what may be saved would hardly ever be found."""
+        most = 0.5 * (CALLS_SAVED * self.s.calls_share * self.s.calls_window - self.s.call_linger)
+        return max(0.05, min(4 * self.call_time(), most))
 
     def call_left(self, sub, given):
         """A call that ended is paid for by its time; one given up may linger as long as the settings say."""
@@ -539,15 +554,22 @@
         share, window = self.s.calls_share, self.s.calls_window
         more = CALLS_RATE * share * (self.now - self.credit_at)
         self.credit, self.credit_at = min(CALLS_SAVED * share * window, self.credit + more), self.now
-        # Those that cannot go without come first, as a slow dependency leaves credit for few.
+        need, takes = self.least_wait() + self.s.call_linger, self.call_time()
+        # What calls that are out have set aside beyond what they take comes back soon.
+        soon = self.credit + sum(max(0.0, sub.reserved - takes) for sub in self.live.values()
+                                 if sub.state == CALLING)
+        # Those that cannot go without come first, as a slow dependency leaves credit for few. Of the others
+        # who would stand there longer than a call may take goes without at once: its cores idle meanwhile.
         standing = [sub for sub in self.live.values() if sub.state == AT_CALL]
         for sub in sorted(standing, key=lambda sub: (self.can_skip(sub), sub.goal_by)):
             reduced = sub.workload in self.reduced.without_call and sub.standing < 1 - self.reduced.spared
-            without = reduced or self.now >= self.skip_at(sub)
-            if self.can_skip(sub) and without:
+            stands = (need - soon) / (CALLS_RATE * share) if soon < need else 0.0
+            if self.can_skip(sub) and (reduced or stands > need or self.now + stands >= self.skip_at(sub)):
                 self.step(sub, SKIP)
-            elif self.credit >= self.least_wait() + self.s.call_linger:
+                continue
+            if self.credit >= need:
                 self.step(sub, CALL_OUT)
+            soon -= takes
 
     def say_level(self):
         """The free value moves lower ranks on from a hot server unread, and stops them where all are pressed.
