--- a/valeturn/lab/fleetdays/gateways.py
+++ b/valeturn/lab/fleetdays/gateways.py
@@ -28,14 +28,14 @@
 class Try:
     """One of them at one server. What an emulated server asks of a submission is here too."""
 
-    __slots__ = ("answers", "asked", "born", "due", "gateway", "life", "over", "read_at", "server", "slim",
-                 "started", "taken_back", "tenant", "tries", "work", "workload")
+    __slots__ = ("answers", "asked", "born", "due", "gateway", "life", "over", "reached_at", "read_at",
+                 "server", "slim", "started", "taken_back", "tenant", "tries", "work", "workload")
 
     def __init__(self, asked, gateway, server, now, until):
         self.asked, self.gateway, self.server, self.born, self.due = asked, gateway, server, now, until
         self.work, self.workload, self.tenant = asked.work, asked.workload, asked.tenant
         self.answers, self.over, self.taken_back, self.started, self.slim = 0, False, False, False, False
-        self.read_at, self.life, self.tries = None, None, 1
+        self.reached_at, self.read_at, self.life, self.tries = None, None, None, 1
 
 
 class Gateway:
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -69,6 +69,7 @@
 FEW, USED, SHORT = 10, 2.0, 0.1  # connections a core that are no burden; s between uses; s kept when too many
 BACK = 0.3  # share turned back from which reading it costs more than a level that errs (0.05 was too eager)
 CALLERS = 1024  # (caller, workload) pairs remembered: some hundred callers at once; ids may be ever new
+OWN_ROOM = 0.75  # the same in local trouble: a server at a quarter of its speed turns back so much by itself
 ROOM = 0.25  # share turned back up to which others likely take more: a third more doors (0.15, 0.3 tried)
 SPARES = 4  # a core: more than can start within a goal, few enough to look through at each event
 CROWD = 0.6  # of the surely survived crowd, so that resumed work after calls finds room
@@ -188,7 +189,8 @@
             self.sent.add(self.now, e.tenant, 1)
         if e.repeats is not None and (w.effect is not Effect.UNREPEATABLE):
             self.step(sub, JOIN)
-        elif self.late_for_drain(sub) or due < self.now + self.margin or self.given_up(sub, e.rank):
+        elif self.late_for_drain(sub) or self.given_up(sub, e.rank) or (
+                min(due, self.stop_at or due) < self.now + self.margin):  # it may not be seen again in time
             self.step(sub, GIVE_UP)
         elif w.effect is Effect.DEDUPLICATED or (w.effect is Effect.IDEMPOTENT and self.s.fresh_for > 0):
             self.remember(sub, w)
@@ -273,8 +275,9 @@
         # for the quickest server, or the least busy one, to the one that turns most back.
         away = 1.0 if self.stop_at is not None or self.local_trouble() else back / max(read, back)
         away = max(away * self.s.longest_advice, min(sub.room_in, self.s.longest_advice))
-        # What this server's own trouble turns back another may take; else all would go through all doors.
-        others = self.stop_at is not None or self.local_trouble() or back < ROOM * read
+        # Others likely have room for what few turn back, or one for its own trouble; past that all would go
+        # through all doors, each of which reads at a price.
+        others = self.stop_at is not None or back < (OWN_ROOM if self.local_trouble() else ROOM) * read
         self.out.append(TurnBack(sub.id, away, not others))
 
     def do_refuse_repeat(self, sub):
