--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -11,6 +11,7 @@
 
 from valeturn import interface as it
 from valeturn.levels import decision as d
+from valeturn.levels import reach
 from valeturn.levels.conditions import Kind
 from valeturn.levels.options import fit, make
 from valeturn.levels.signals import Signals
@@ -19,7 +20,7 @@
 from valeturn.program import configuration
 from valeturn.routing import messages as msg
 from valeturn.routing.reduced import Reducing
-from valeturn.rules import Rules
+from valeturn.rules import MEMORY_RUN, Rules
 
 SLIM, BARE = it.Reduced(without_call=frozenset((0,))), it.Reduced(turn_back=frozenset((0,)))
 NOTHING = dict.fromkeys(
@@ -133,6 +134,28 @@
     assert [(fault.line, fault.rule) for fault in broken(text)] == [BROKEN[text]]
 
 
+@pytest.mark.parametrize(
+    "enter, why",
+    [
+        ("memory > 90 %", "can't pass 85 %"),
+        ("unread.wait > 1 min", "can't pass"),
+        ("calls.latency > 1 min for 2 s", "can't pass"),
+        ("cores.busy > 80 % and cores.busy < 60 %", "over and under"),
+        ("memory > 90 % or unread.wait > 2 min", "can't pass 85 %"),
+        ("memory > 90 % or cores.busy > 90 %", None),
+        ("calls.latency > 9 x usual", None),
+        ("cores.busy > 60 % and cores.busy < 80 %", None),
+        ("memory > 80 %", None),
+    ],
+)
+def test_a_condition_that_no_load_can_reach_is_told_by_its_line(enter, why):
+    text = LEVEL.replace("cores.busy < 60 %", "turned_back < 5 %").replace("cores.busy > 80 %", enter)
+    told = [(f.line, f.rule, f.text) for f in broken(text)]
+    assert [row[:2] for row in told] == ([] if why is None else [(3, "never-reached")])
+    assert why is None or why in told[0][2]
+    assert reach.MEMORY_MOST == MEMORY_RUN
+
+
 def test_signals_that_a_deployment_does_not_have_are_told():
     assert broken(LEVEL) == []
     few = changed("settings.domain.gauges", ["runnable"])
@@ -389,6 +412,26 @@
     assert waits[1] == pytest.approx(waits[0] / 2)
 
 
+@pytest.mark.parametrize("first", ["level", "leave"])
+def test_a_level_entered_in_a_drain_and_a_drain_in_a_level_keep_the_rules(first):
+    """The model breaks on anything unanswered at the stop, run past the grace or turned back once run."""
+    s = settings()
+    m = Model(Rules(s, 1, 0.0), s)
+    m.batch(0.0)
+    m.batch(0.1, *[it.Arrived(n, n % 3 and 2, left=2.9, cost_hint=0.2, subject=f"k{n}") for n in range(1, 5)])
+    events = {"level": it.Level(it.Reduced(turn_back=frozenset((0,)), without_call=frozenset((0,)))),
+              "leave": it.Leave(2.5)}
+    m.batch(0.2, events.pop(first))
+    m.batch(0.25, it.AtCall(next(iter(n for n, sub in m.subs.items() if sub["at"] == "running"))))
+    m.batch(0.3, *events.values())
+    out = m.batch(0.5, it.Arrived(9, 0, left=2.9, cost_hint=0.1), it.Arrived(10, 2, left=2.9, cost_hint=0.1))
+    assert [a.id for a in out if isinstance(a, it.TurnBack)] == [9], "at the level, within the grace"
+    assert not any(isinstance(a, it.TurnBack) and a.final for a in out), "a drain sends callers on"
+    for step in range(1, 26):
+        m.batch(0.5 + step / 10, it.Woken(0, it.Gauges(1.0, 4, 0.1, 5)))
+    assert not any(sub["owed"] for sub in m.subs.values())
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_the_rules_hold_under_any_changes_of_level_and_nothing_started_is_turned_back(seed):
     chance, s = random.Random(seed), settings(cold=seed % 2 == 0)
--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -45,6 +45,11 @@
         if shape not in SHAPES:
             raise SystemExit(f"valeturn: --shape wants one of {', '.join(SHAPES)}, has {shape!r}")
         seeds = range(first, first + max(1, number(given, "--seeds")))
+        if given["--real"]:
+            from .levelsreal import main as levels_real
+
+            seconds, servers = number(given, "--seconds"), number(given, "--servers")
+            return levels_real(shape, seconds, servers, first, sys.stdout)
         return levels(
             shape,
             number(given, "--minutes"),
--- a/valeturn/lab/executor.py
+++ b/valeturn/lab/executor.py
@@ -105,7 +105,7 @@
         """The effect happens as the run begins: one that is stopped half way had it too."""
         began, plan = time.time(), self.plan(workload, body)
         self.effects[workload, body] += 1
-        await asyncio.sleep(plan.seconds)
+        await self.work(call, plan.seconds)
         result = body
         if plan.calls:
             self.replies[call] = asyncio.get_running_loop().create_future()
@@ -122,6 +122,10 @@
         self.results[workload, body] = result
         self.tell(t="EXIT", rid=call, status="success", time_ms=took, b64=base64.b64encode(result).decode())
 
+    async def work(self, call, seconds):
+        """What a run takes of the machine; here there is a core for each."""
+        await asyncio.sleep(seconds)
+
     def close(self):
         for task in self.running.values():
             task.cancel()
--- a/valeturn/lab/gateways.py
+++ b/valeturn/lab/gateways.py
@@ -87,7 +87,7 @@
                 if not waits.done():
                     waits.set_result(None)
 
-    async def ask(self, workload, call, body, wait, mark, caller):
+    async def ask(self, workload, call, body, wait, mark, caller, work=0.01):
         """(code, fields, body), CUT or SILENT."""
         if self.ended or self.writer.is_closing():
             return CUT
@@ -96,7 +96,7 @@
         self.calls[stream] = call
         self.calls.pop(stream - 4096, None)
         try:
-            self.writer.write(submission(stream, workload, call, body, wait, mark, caller=caller))
+            self.writer.write(submission(stream, workload, call, body, wait, mark, work, caller=caller))
         except (ConnectionError, OSError):
             return CUT
         try:
@@ -130,14 +130,14 @@
                     return None
             return c
 
-    async def once(self, key, workload, wait):
+    async def once(self, key, workload, wait, work=0.01):
         """One try on one connection; None where none could be made."""
         connection = await self.connected()
         if connection is None:
             return None
         life, call = connection.life, self.world.new_call()
         mark = key if workload == "book" else None
-        got = await connection.ask(workload, call, key.encode(), wait, mark, self.number)
+        got = await connection.ask(workload, call, key.encode(), wait, mark, self.number, work)
         outcome, result = (got, b"") if isinstance(got, str) else (CODES[got[0]], got[2])
         if outcome == CUT:
             await self.world.look_whether_dead(life)
--- a/valeturn/levels/options.py
+++ b/valeturn/levels/options.py
@@ -9,6 +9,7 @@
 from ..options.schema import REQUIRED, Field, Shape
 from .conditions import Kind
 from .decision import Level
+from .reach import unreached
 
 
 class Names(NamedTuple):
@@ -122,6 +123,9 @@
             faults.append(where["turn_back"].fault("all-turned-back", "no workload is let in at this level"))
         if level.within_share and not settings.tenants:
             faults.append(where["within_share"].fault("no-tenants", "this deployment has no tenants"))
+        why = unreached(level.enter, settings)
+        if why is not None:
+            faults.append(where["enter"].fault("never-reached", f"{why}: the level would never be entered"))
         for key in ("enter", "leave"):
             for one in getattr(level, key).ones():
                 if one.signal.startswith("calls.") and not calls:
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -13,6 +13,7 @@
   valeturn lab restarts [--kills N] [--seed S] [--lanes L] [--keep DIR]
   valeturn lab store [--keys N] [--folder DIR]
   valeturn lab levels [--shape NAME] [--minutes M] [--servers N] [--seed S] [--seeds N] [--report DIR]
+                      [--real] [--seconds T]
   valeturn lab fleet-days [--day NAMES] [--servers N] [--gateways G] [--seconds T] [--seed S] [--seeds N]
                           [--against POLICIES]
   valeturn version
@@ -47,7 +48,8 @@
   --servers N      Emulated servers [default: 20].
   --day NAMES      all, or of calm roll herd zone split join, with commas [default: all].
   --gateways G     Emulated gateways [default: 10].
-  --seconds T      Of virtual time [default: 40].
+  --seconds T      Of virtual time; of real time with --real [default: 40].
+  --real           Real servers on loopback, beside the emulator with the same load.
   --against POLICIES  Played on the same demand: pool, or a file with an earlier module; with commas.
   --seeds N        How many seeds, from --seed on [default: 1].
   --report DIR     Write an HTML page with plots there (pip install -r requirements-lab.txt).
