Optional subsystems are parts with the same verbs, in one table; options imports nothing upward

Need: three more subsystems are to come; server.py opened store, levels, control socket and metrics one by one and passed them through constructors of fourteen arguments; options/ imported the packages whose sections it checks; program/commands.py knew each package's commands.

Change: program/parts/ (Part and its verbs, TABLE, one module a part, loaded where its section is there); sections handed to options/sections.py; Core takes Parties and Telling; run(given) in each package's commands.py, COMMANDS; View.busy is gone, which was never true. docs/parts.md says how a part is added; tests/test_layers.py reads who imports whom from the sources.

Measured: no behaviour meant to change; all tests of options, levels, control, store, routing, program and transport pass as they were, but for where they get the shapes from.

--- a/valeturn/control/options.py
+++ b/valeturn/control/options.py
@@ -24,4 +24,9 @@
     return ControlOptions(**values, where=where), faults
 
 
+def fit(built, c):
+    """Nothing of a configuration speaks against a socket."""
+    return []
+
+
 SHAPE = Shape("control", {"socket": Field(Folder(), REQUIRED)}, build)
--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -12,7 +12,8 @@
         raise SystemExit(f"valeturn: {name} wants a whole number, has {given[name]!r}") from None
 
 
-def main(given):
+def run(given):
+    """The exit code for docopt's words."""
     if given["restarts"]:
         from .restarts import main as restarts
 
--- a/valeturn/levels/options.py
+++ b/valeturn/levels/options.py
@@ -94,9 +94,9 @@
 )
 
 
-def fit(levels, names):
-    """The faults of all levels beside each other and a deployment (settings.Names)."""
-    faults, ranks = [], {}
+def fit(levels, c):
+    """The faults of all levels beside each other and a deployment (its configuration, of which names)."""
+    faults, ranks, names = [], {}, c.names
     settings, known = names.settings, names.workloads
     calls = any(w.calls for w in settings.workloads)
     for name, level in sorted(levels.items(), key=lambda item: item[1].where["rank"].line):
--- a/valeturn/metrics/options.py
+++ b/valeturn/metrics/options.py
@@ -27,6 +27,11 @@
         return []
 
 
+def fit(built, c):
+    """What is wrong with it beside a configuration."""
+    return built.fit(c.memory_mb)
+
+
 SHAPE = Shape(
     "metrics",
     {"file": Field(Folder(), REQUIRED), "every": Field(Quantity("a time", 1.0, 3600.0), 15.0)},
--- a/valeturn/options/sections.py
+++ b/valeturn/options/sections.py
@@ -1,4 +1,5 @@
-"""The sections that this version knows, each declared by its own package."""
+"""Reads the operator's file with what the subsystems declare, which is handed in: section -> its module of
+options, with SHAPE and fit(built, configuration) -> faults."""
 
 from __future__ import annotations
 
@@ -6,15 +7,8 @@
 import pickle
 import socket
 
-from ..control.options import SHAPE as CONTROL
-from ..levels import options as levels
-from ..metrics.options import SHAPE as METRICS
-from ..store.options import SHAPE as STORE
 from . import schema
 
-SHAPES = (STORE, levels.SHAPE, CONTROL, METRICS)
-
-
 class Unusable(Exception):
     """The operator's file can't be used; `faults` has a line for each thing that is wrong."""
 
@@ -23,21 +17,11 @@
         self.faults = faults
 
 
-# name of a section -> what is wrong with what was built of it beside a configuration
-# (program/configuration.py)
-FITS = {
-    "store": lambda built, c: built.fit(c.memory_mb),
-    "level": lambda built, c: levels.fit(built, c.names),
-    "control": lambda built, c: [],
-    "metrics": lambda built, c: built.fit(c.memory_mb),
-}
-
-
-def load(path, c):
+def load(path, c, declared):
     """Options that fit the configuration. Raises Unusable."""
-    options, faults = schema.load(path, SHAPES)
+    options, faults = schema.load(path, [module.SHAPE for module in declared.values()])
     if options is not None:
-        faults = [fault for name, built in options.sections.items() for fault in FITS[name](built, c)]
+        faults = [fault for name, built in options.sections.items() for fault in declared[name].fit(built, c)]
     if faults:
         raise Unusable(faults)
     return options
@@ -51,15 +35,15 @@
     return b"".join(parts)
 
 
-def load_apart(path, c, receive=receive):
+def load_apart(path, c, declare, receive=receive):
     """As `load`, in a process of its own that ends with it: the grammar's memory goes with that process, and
-    a running server's loop goes on meanwhile where `receive` lets it."""
+    a running server's loop goes on meanwhile where `receive` lets it. declare() is called there."""
     ours, other = socket.socketpair()
     child = os.fork()
     if child == 0:
         try:
             try:
-                said = load(path, c)
+                said = load(path, c, declare())
             except Unusable as unusable:
                 said = unusable.faults
             other.sendall(pickle.dumps(said))
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -65,6 +65,7 @@
 
 from __future__ import annotations
 
+import importlib
 import signal
 import sys
 
@@ -72,15 +73,21 @@
 from ..transport import signals
 from . import configuration, logs
 
+PACKAGE = __name__.partition(".")[0]
+# First word -> the module that carries it out, with run(given) for docopt's words. lab has words like others.
+COMMANDS = {"lab": "lab.commands", "store": "store.commands", "status": "control.commands",
+            "metrics": "control.commands", "top": "control.commands", "level": "control.commands"}
+
 
 def operators_file(path, c, receive=None):
     """What the operator's file says, or None where there is none; without one none of its code is loaded."""
     if path is None:
         return None
     from ..options import sections
+    from . import parts
 
     try:
-        return sections.load_apart(path, c, receive or sections.receive)
+        return sections.load_apart(path, c, parts.options_modules, receive or sections.receive)
     except sections.Unusable as unusable:
         raise configuration.Wrong(str(unusable)) from None
 
@@ -114,19 +121,6 @@
     return 0
 
 
-def level(given):
-    from ..control.client import level as ask
-    from ..options.kinds import Quantity, Wants
-
-    if given["free"]:
-        return ask(given["SOCKET"], None, 0.0)
-    try:
-        seconds = Quantity("a time", 0.1, 86400.0).read(given["--for"])
-    except Wants as wants:
-        raise configuration.Wrong(f"--for {wants.args[1]}") from None
-    return ask(given["SOCKET"], given["NAME"], seconds)
-
-
 def main(words):
     try:
         return carry_out(words)
@@ -151,26 +145,7 @@
         return 0
     if given["check"]:
         return check(given["FILE"], given["--settings"])
-    if given["store"] and not given["lab"]:
-        from ..store.commands import main as store
-
-        return store(next(what for what in ("inspect", "verify", "compact") if given[what]), given["DIR"])
-    if given["status"]:
-        from ..control.client import status
-
-        return status(given["SOCKET"], given["--json"])
-    if given["top"]:
-        from ..control.top import main as top
-
-        return top(given["SOCKET"])
-    if given["metrics"]:
-        from ..control.client import metrics
-
-        return metrics(given["SOCKET"][0])
-    if given["level"]:
-        return level(given)
-    if given["lab"]:
-        from ..lab.commands import main as lab
-
-        return lab(given)
+    for word, module in COMMANDS.items():
+        if given[word]:
+            return importlib.import_module(f"{PACKAGE}.{module}").run(given)
     return serve(given["--config"], given["--verbose"], given["--settings"])
--- /dev/null
+++ b/valeturn/program/parts/control.py
@@ -0,0 +1,35 @@
+"""The control socket as a part of the server; it sends each request to the part whose it is."""
+
+from __future__ import annotations
+
+from ...control import requests
+from ...control.server import Control, InUse
+from . import Part as Base
+
+NO_PART = {requests.Metrics: "no metrics are configured", requests.Hold: "no levels are configured",
+           requests.Free: "no levels are configured"}
+
+
+class Part(Base):
+    control = None
+
+    def start(self):
+        server = self.server
+        try:
+            self.control = Control(server.scheduler, self.built.socket, self.reply, server.counters.add)
+        except (InUse, OSError) as error:  # a server without its control socket serves all the same
+            server.counters.add("control.not_open")
+            server.log("control_not_open", {"socket": self.built.socket, "why": str(error)})
+
+    def reply(self, request):
+        if isinstance(request, requests.Status):
+            return requests.good(status=self.server.status())
+        for part in self.server.parts.values():
+            answer = part.answer(request)
+            if answer is not None:
+                return answer
+        return requests.refused(NO_PART[type(request)])
+
+    def drained(self):
+        if self.control is not None:
+            self.control.close()
--- /dev/null
+++ b/valeturn/program/parts/levels.py
@@ -0,0 +1,48 @@
+"""Levels of reduced service as a part of the server."""
+
+from __future__ import annotations
+
+from ...control import requests
+from ...levels.options import make
+from ...routing.messages import Told
+from ...routing.reduced import Reducing
+from . import Part as Base
+
+
+class Part(Base):
+    live = True
+
+    def __init__(self, server, built):
+        super().__init__(server, built)
+        names = server.configuration.names
+        self.reducing = Reducing(server.scheduler.clock(), make(built, names), names.settings,
+                                 server.counters.add, server.log)
+
+    def figures(self):
+        return self.reducing.figures(self.server.scheduler.clock())
+
+    def status(self):
+        return {"level": self.figures()}
+
+    def counts(self):
+        return {"level": self.figures()}
+
+    def take(self, built):
+        self.built = built
+        self.reducing.decision.put(make(built, self.server.configuration.names))
+        self.server.core.put(Told(self.reducing.event()))  # what the present level gives up may have changed
+
+    def answer(self, request):
+        """Nothing about submissions is decided here: a level is held as a condition would enter it."""
+        now = self.server.scheduler.clock()
+        if isinstance(request, requests.Hold):
+            told, why = self.reducing.hold(now, request.level, request.seconds), f"no level {request.level}"
+        elif isinstance(request, requests.Free):
+            told, why = self.reducing.free(now), "no level is held by hand"
+        else:
+            return None
+        if told is None:
+            return requests.refused(why)
+        for event in told:
+            self.server.core.mailbox.push(Told(event))
+        return requests.good()
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -9,6 +9,7 @@
 
 import heapq
 import time
+from typing import NamedTuple
 
 from .. import interface as it
 from ..protocol import executor as lines
@@ -27,17 +28,34 @@
            "unasked_end": "write_off"}
 
 
+class Parties(NamedTuple):
+    """Whom the owner speaks with."""
+
+    link: object  # the executor's
+    ledger: object
+    gateways: object
+    reporter: object
+
+
+class Telling(NamedTuple):
+    """Where it tells what happens: count(name), times.add(name, seconds), log(event, fields)."""
+
+    count: object
+    times: object
+    log: object
+
+
 class Core:
-    def __init__(self, scheduler, names, bounds, pace, make_rules, link, ledger, gateways, reporter, count,
-                 times, log, kept=None, reducing=None):
+    def __init__(self, scheduler, names, bounds, pace, make_rules, parties, telling, kept=None,
+                 reducing=None):
         self.scheduler, self.pace, self.make_rules = scheduler, pace, make_rules
         self.names, self.settings = names, names.settings
-        self.link, self.ledger, self.gateways, self.reporter = link, ledger, gateways, reporter
-        self.count, self.log = count, log
+        self.link, self.ledger, self.gateways, self.reporter = parties
+        self.count, self.times, self.log = telling
         self.most_open, self.mailbox = bounds.submissions, Mailbox(scheduler, bounds.messages)
         self.rules, self.numbers = None, 0
         self.open, self.by_call, self.by_stream = {}, {}, {}
-        self.wakes, self.asked, self.times = [], 0.0, times
+        self.wakes, self.asked = [], 0.0
         self.runs, self.repeating = Runs(self), Repeating(self, bounds.results, kept)
         self.good, self.shallow, self.load, self.checks = False, True, None, {}
         self.cold, self.warm_since = False, 0.0
--- a/valeturn/store/commands.py
+++ b/valeturn/store/commands.py
@@ -21,6 +21,11 @@
     retry = 1.0
 
 
+def run(given):
+    """The exit code for docopt's words."""
+    return main(next(what for what in ("inspect", "verify", "compact") if given[what]), given["DIR"])
+
+
 def main(what, folder):
     if not os.path.isdir(folder):
         print(f"valeturn: {folder}: no such folder", file=sys.stderr)
--- a/valeturn/store/log.py
+++ b/valeturn/store/log.py
@@ -218,7 +218,6 @@
             self.snapshot_size,
             self.bounds.segment,
             self.usable(),
-            False,
             self.health == upkeep.WELL and self.begun,
             self.rest_until,
         )
--- a/valeturn/store/options.py
+++ b/valeturn/store/options.py
@@ -45,6 +45,11 @@
     return options, faults
 
 
+def fit(built, c):
+    """What is wrong with it beside a configuration."""
+    return built.fit(c.memory_mb)
+
+
 SHAPE = Shape(
     "store",
     {
--- a/valeturn/store/upkeep.py
+++ b/valeturn/store/upkeep.py
@@ -28,7 +28,6 @@
     snapshot_size: int
     segment: int  # bytes at which a segment is full
     usable: int
-    busy: bool  # one of these is being done
     well: bool  # the disk takes writes
     rest_until: float
 
@@ -51,7 +50,7 @@
 
 # Read from the top: the first whose conditions all hold is done.
 RULES = (
-    ((lambda v: v.busy or not v.well,), NOTHING),
+    ((lambda v: not v.well,), NOTHING),
     ((over, uncovered), SNAPSHOT),
     ((over,), DROP),
     ((crowded, uncovered), SNAPSHOT),
