--- a/valeturn/program/logs.py
+++ b/valeturn/program/logs.py
@@ -1,4 +1,4 @@
-"""The log: the logging module with one key=value line an event, on standard error."""
+"""The log: the logging module with one logfmt line an event, on standard error."""
 
 from __future__ import annotations
 
@@ -7,17 +7,14 @@
 import select
 import sys
 
-LOGGER = logging.getLogger("valeturn")
-
+from logfmter import Logfmter
 
-def _value(value):
-    text = f"{value:.6g}" if isinstance(value, float) else str(value)
-    plain = text and not any(c.isspace() or c in '"=' for c in text)
-    return text if plain else '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
+LOGGER = logging.getLogger("valeturn")
 
 
 def pairs(fields):
-    return " ".join(f"{key}={_value(value)}" for key, value in fields.items())
+    return Logfmter.format_params({
+        key: f"{value:.6g}" if isinstance(value, float) else str(value) for key, value in fields.items()})
 
 
 class KeyValue(logging.Formatter):
