fleet/: messages between servers, and who is there, after SWIM and Lifeguard

Need: one owner at a time wants to know who is there, in a way that a slow or cut-off server does not upset.

Change: fleet/wire.py (length, CRC32C, version, msgpack; each fault ends its decoder), fleet/membership.py (table of what is known, told and how it stands; lives and incarnations, refutation, doubt in oneself, suspicions shortened by independent accusers), lab/fleetvirtual.py and lab members (loss, late servers, cuts, stops, kills, clocks of their own). Not yet reached by a server: links, the owner and the part come next.

Seen on the way: with news sent on probes alone, 20 servers and one message in five lost, 52 to 134 false losses a server-hour; the suspicions were refuted, but one in twenty observers missed the refutation. Now who suspects asks the suspected itself each period: none. After a cut longer than it takes to forget, both sides had forgotten each other for good: a seed that is not there is asked now and then.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,6 +16,7 @@
     "levels": {"options", "interface"},
     "metrics": {"options"},
     "control": {"options", "transport"},
+    "fleet": {"options", "transport"},
     "routing": {"transport", "protocol", "interface", "levels", "store"},
     "wirehost": DECISIONS,
 }
--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -38,6 +38,15 @@
             given["--against"].split(",") if given["--against"] else (),
             sys.stdout,
         )
+    if given["members"]:
+        from .fleetvirtual import measure
+
+        try:
+            shares = [float(given[name]) for name in ("--loss", "--slow")]
+        except ValueError:
+            raise SystemExit("valeturn: --loss and --slow want shares, such as 0.2") from None
+        whole = [number(given, name) for name in ("--servers", "--seed")]
+        return 0 if measure(*whole, *shares, number(given, "--minutes"), sys.stdout) else 1
     if given["levels"]:
         from .levels import SHAPES
         from .levels import main as levels
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -16,6 +16,7 @@
                       [--real] [--seconds T]
   valeturn lab fleet-days [--day NAMES] [--servers N] [--gateways G] [--seconds T] [--seed S] [--seeds N]
                           [--against POLICIES]
+  valeturn lab members [--servers N] [--loss S] [--slow S] [--minutes M] [--seed S]
   valeturn version
   valeturn --help
 
@@ -31,7 +32,8 @@
              level by hand for a time, logged; `level free` ends that.
   lab        The laboratory: `restarts` kills and restarts a server on loopback and counts effects; `store`
              measures the store beside plain sqlite3; `levels` plays a load in virtual time, with levels and
-             without; `fleet-days` plays the days that hurt a whole fleet, in virtual time.
+             without; `fleet-days` plays the days that hurt a whole fleet, in virtual time;
+             `members` lets so many servers find and lose each other, in virtual time.
   version    Print the version.
 
 Options:
@@ -49,6 +51,8 @@
   --day NAMES      all, or of calm roll herd zone split join, with commas [default: all].
   --gateways G     Emulated gateways [default: 10].
   --seconds T      Of virtual time; of real time with --real [default: 40].
+  --loss S         Share of messages between servers that never come [default: 0].
+  --slow S         Share of servers that answer late [default: 0].
   --real           Real servers on loopback, beside the emulator with the same load.
   --against POLICIES  Played on the same demand: pool, or a file with an earlier module; with commas.
   --seeds N        How many seeds, from --seed on [default: 1].
