--- a/valeturn/lab/levels.py
+++ b/valeturn/lab/levels.py
@@ -79,6 +79,9 @@
     "steady": lambda t, seconds: 0.8,
     "step": lambda t, seconds: 0.6 if t < seconds / 3 or t > 2 * seconds / 3 else 1.2,
     "sine": lambda t, seconds: 0.9 - 0.4 * math.cos(2 * math.pi * t * max(1, round(seconds / 120)) / seconds),
+    "slow-sine": lambda t, seconds: 0.9 - 0.4 * math.cos(2 * math.pi * t / 1200),
+    "mild-sine": lambda t, seconds: 0.9 - 0.2 * math.cos(2 * math.pi * t / 120),
+    "wild-sine": lambda t, seconds: 0.9 - 0.7 * math.cos(2 * math.pi * t / 120),
     "burst": lambda t, seconds: 1.6 if t % 60 < 8 else 0.6,
     "slow": lambda t, seconds: 0.8,  # the dependency ten times slower for 8 s of each minute
     "failing": lambda t, seconds: 0.8,  # it fails four calls in five for 8 s of each minute
