--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,297 @@
+"""One owner at a time: storms in virtual time with a witness, planted faults, and the hard cases one by
+one."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from valeturn.fleet import owner as ow
+from valeturn.lab.ownervirtual import LEASE, Storm, owner_lost, play
+from valeturn.transport.chance import Chance
+
+FAST = settings(derandomize=True, deadline=None, max_examples=200)
+
+
+@pytest.mark.parametrize("count, seed", [(3, n) for n in range(1, 9)] + [(5, n) for n in range(1, 9)])
+def test_in_a_storm_no_two_act_at_once_and_what_is_committed_stays(count, seed):
+    storm = play(count, 60, seed)
+    w = storm.witness
+    assert not w.broken(), (w.at_once[:2], w.forked[:2], w.two_in_a_term[:2], w.fences_fell[:2])
+    assert len(w.terms) > 3 and w.facts, "it was a storm"
+    assert storm.leader() is not None and not storm.wiped, "and it ends with an owner"
+
+
+class KeepsNoPromise(ow.Owner):
+    def _promise(self):
+        return 0.05 * self.lease
+
+
+class ActsOnPastItsLease(ow.Owner):
+    def leads(self, now):
+        return self.role == ow.LEADER
+
+
+class KeepsItsFirstWordsAlone(ow.Owner):
+    def _taken(self):
+        out = super()._taken()
+        if self.last()[0] > 4:
+            out = [one for one in out if not isinstance(one, ow.Persist)]
+        return out
+
+
+PLANTED = [KeepsNoPromise, ActsOnPastItsLease, KeepsItsFirstWordsAlone]  # rarer ones are met one by one below
+
+
+@pytest.mark.parametrize("planted", PLANTED)
+def test_each_planted_fault_is_found_by_the_witness(planted, monkeypatch):
+    """All stand at one moment here, and a third of the messages come late or never: so that votes split."""
+    monkeypatch.setattr(ow, "APART", 0.0)
+    for seed in range(1, 61):
+        if play(3 + 2 * (seed % 2), 40, seed, owner=planted, loss=0.1, late=0.25).witness.broken():
+            return
+    raise AssertionError("sixty storms and nothing seen")
+
+
+def test_the_same_storms_find_nothing_without_a_fault(monkeypatch):
+    monkeypatch.setattr(ow, "APART", 0.0)
+    for seed in range(1, 13):
+        assert not play(3 + 2 * (seed % 2), 40, seed, loss=0.1, late=0.25).witness.broken()
+
+
+def calm(count=3, seed=1):
+    storm = Storm(count, seed, loss=0.0, doubled=0.0, late=0.0)
+    storm.run(5 * LEASE)
+    assert storm.leader() is not None
+    return storm
+
+
+def test_an_owner_that_was_stopped_and_wakes_does_not_act_and_hears_of_the_next():
+    storm = calm()
+    old = storm.leader()
+    old.stopped = True
+    storm.run(storm.now + 4 * LEASE)
+    new = storm.leader()
+    assert new is not None and new is not old
+    old.stopped = False
+    assert not old.owner.leads(old.clock()), "before it has read a single message"
+    assert not old.owner.propose(old.clock(), ("grant", "d", old.name, 1))
+    storm.go_on(old)
+    storm.run(storm.now + LEASE)
+    assert old.owner.role == ow.FOLLOWER and old.owner.kept.term >= new.owner.kept.term
+
+
+@pytest.mark.parametrize("hears", [True, False])
+def test_a_cut_one_way_ends_the_owner_s_lease_or_changes_nothing(hears):
+    storm = calm()
+    old = storm.leader()
+    others = [name for name in storm.voters if name != old.name]
+    storm.cuts = {(name, old.name) if not hears else (old.name, name) for name in others}
+    storm.run(storm.now + 6 * LEASE)
+    assert storm.leader() is not None and storm.leader() is not old
+    assert not storm.witness.broken()
+
+
+def test_no_majority_anywhere_means_no_owner_until_it_heals():
+    storm = calm(4)
+    names = sorted(storm.voters)
+    storm.cuts = {(a, b) for a in names for b in names if (a in names[:2]) != (b in names[:2])}
+    storm.run(storm.now + 10 * LEASE)
+    assert storm.leader() is None
+    storm.cuts = set()
+    storm.run(storm.now + 6 * LEASE)
+    assert storm.leader() is not None and not storm.witness.broken()
+
+
+def test_who_was_cut_off_comes_back_without_upsetting_the_owner():
+    storm = calm()
+    leader = storm.leader()
+    term, away = leader.owner.kept.term, next(n for n in storm.voters if n != leader.name)
+    storm.cuts = {(a, b) for a in storm.voters for b in storm.voters if away in (a, b)}
+    storm.run(storm.now + 20 * LEASE)
+    storm.cuts = set()
+    storm.run(storm.now + 5 * LEASE)
+    assert storm.leader() is leader and leader.owner.kept.term == term, "it only sounded the others out"
+
+
+def test_a_voter_that_lost_its_disk_votes_only_when_two_facts_say_so():
+    storm = calm()
+    leader = storm.leader()
+    lost = next(v for v in storm.voters.values() if v is not leader)
+    lost.up = False
+    storm.run(storm.now + LEASE)
+    storm.wiped.add(lost.name)
+    storm.back(lost, True)
+    assert lost.owner.kept.blank and not lost.owner.may_vote()
+    assert lost.owner.hear(lost.clock(), "x", "vote", [99, 99, 99, True]) == []
+    storm.run(storm.now + 8 * LEASE)
+    assert not lost.owner.kept.blank and lost.owner.may_vote()
+    changes = [fact for _, fact in sorted(storm.witness.facts.items()) if fact[0] in ("admit", "dismiss")]
+    assert changes == [("dismiss", lost.name), ("admit", lost.name, 2)]
+    assert lost.owner.kept.vote is not None, "its vote of this term may have been given before"
+
+
+def test_a_majority_lost_for_good_is_never_made_up_for_by_those_that_forgot():
+    storm = calm()
+    survivor, *rest = storm.voters.values()
+    for voter in rest:
+        voter.up = False
+    storm.run(storm.now + LEASE)
+    for voter in rest:
+        voter.disk, voter.life, voter.up = None, 2, True
+        voter.start()
+    storm.run(storm.now + 20 * LEASE)
+    assert storm.leader() is None and not storm.witness.broken()
+
+
+def test_a_hand_over_takes_a_moment_and_the_old_owner_acts_no_more():
+    storm = calm()
+    old = storm.leader()
+    to = next(name for name in storm.voters if name != old.name)
+    at = storm.now
+    old.carry(old.owner.hand_over(old.clock(), to))
+    assert not old.owner.leads(old.clock())
+    while storm.leader() is None:
+        storm.run(storm.now + 0.01)
+    assert storm.leader().name == to and storm.now - at < 0.3 * LEASE
+    assert not storm.witness.broken()
+
+
+def test_a_lost_owner_is_followed_soon():
+    """A lease and what stands are spread over; once more where two stood at one moment."""
+    lost = sorted(owner_lost(3, 1, 8) + owner_lost(5, 2, 8))
+    assert lost[len(lost) // 2] < 1.5 * LEASE and lost[-1] < 3.5 * LEASE
+
+
+def test_a_long_log_is_cut_and_one_that_was_away_gets_the_snapshot():
+    storm = calm()
+    leader = storm.leader()
+    away = next(v for v in storm.voters.values() if v is not leader)
+    away.up = False
+    for number in range(3 * ow.KEPT):
+        assert leader.owner.propose(leader.clock(), ("grant", f"d{number % 5}", leader.name, 1))
+        leader.carry(leader.owner.tick(leader.clock()))
+        if number % 16 == 0:
+            storm.run(storm.now + 0.1)
+    storm.run(storm.now + LEASE)
+    assert len(leader.owner.kept.entries) <= 2 * ow.KEPT + 16 and leader.owner.kept.base > ow.KEPT
+    storm.back(away, False)
+    storm.run(storm.now + 3 * LEASE)
+    assert away.owner.facts == leader.owner.facts and away.owner.facts.fence == 3 * ow.KEPT
+
+
+def voter(name="a", kept=None, now=0.0, life=1):
+    founders = () if kept else (("a", 1), ("b", 1), ("c", 1))
+    return ow.Owner(name, life, 1.0, Chance(1), now, kept, founders)
+
+
+def sent(effects, kind):
+    return [(one.to, one.fields) for one in effects if isinstance(one, ow.Send) and one.kind == kind]
+
+
+def test_one_vote_a_term_also_after_a_restart_and_it_is_kept_before_it_is_told():
+    one = voter()
+    effects = one.hear(5.0, "b", "vote", [3, 1, 0, False])
+    assert isinstance(effects[0], ow.Persist) and effects[0].kept.vote == "b" and sent(effects, "voted")
+    assert not sent(one.hear(5.1, "c", "vote", [3, 1, 0, False]), "voted")
+    again = voter(kept=effects[0].kept, now=5.2)
+    assert not sent(again.hear(9.0, "c", "vote", [3, 1, 0, False]), "voted")
+    assert sent(again.hear(9.0, "b", "vote", [3, 1, 0, False]), "voted"), "the same once more"
+
+
+def test_no_vote_for_a_log_that_lacks_what_it_has_nor_while_a_leader_s_promise_lasts():
+    one = voter()
+    one.hear(5.0, "b", "append", [2, 1, 1, 0, [[2, ["begin"]]], 2])
+    assert not sent(one.hear(5.5, "c", "vote", [9, 2, 2, False]), "voted"), "promised to b"
+    assert one.kept.term == 2, "and its term is not driven up meanwhile"
+    assert not sent(one.hear(7.0, "c", "vote", [9, 1, 0, False]), "voted"), "an older log"
+    assert sent(one.hear(7.0, "c", "vote", [10, 2, 2, False]), "voted")
+
+
+def leading(term_before=0, entries=()):
+    """`a` of three, just elected, with entries of earlier terms in its log."""
+    kept = ow.Kept(term=term_before, base=1, facts=ow.Facts((("a", 1), ("b", 1), ("c", 1))), entries=entries)
+    one = voter(kept=kept)
+    now = 5.0
+    one.tick(now)
+    one.hear(now, "b", "would", [one.kept.term + 1, one.kept.term, True])
+    one.hear(now, "b", "voted", [one.kept.term])
+    assert one.role == ow.LEADER
+    return one, now
+
+
+def test_the_lease_counts_from_the_sending_of_the_round_that_was_answered():
+    one, now = leading()
+    assert not one.leads(now), "elected is not yet answered"
+    number, last = one.round, one.last()[0]
+    one.hear(now + 0.9, "b", "appended", [one.kept.term, number, True, last, 1, False])
+    assert one.lease_until == now + 1.0 and not one.leads(now + 1.0)
+
+
+def test_answers_of_an_earlier_life_or_of_one_that_is_blank_count_for_nothing():
+    one, now = leading()
+    number, last = one.round, one.last()[0]
+    for life, blank in ((2, False), (1, True)):
+        one.hear(now, "b", "appended", [one.kept.term, number, True, last, life, blank])
+        assert not one.leads(now) and one.commit == 1
+    one.hear(now, "b", "appended", [one.kept.term, number, True, last, 1, False])
+    assert one.leads(now) and one.commit == last
+
+
+def test_an_entry_of_an_earlier_term_is_committed_by_one_of_its_own_alone():
+    one, now = leading(2, (ow.Entry(1, ("grant", "d", "a", 1)),))
+    assert one.last() == (3, 3)
+    one.hear(now, "b", "appended", [3, one.round, True, 2, 1, False])
+    assert one.commit == 1, "a majority has it; a later leader could still put another in its place"
+    one.hear(now, "b", "appended", [3, one.round, True, 3, 1, False])
+    assert one.commit == 3
+
+
+def test_a_snapshot_that_comes_late_takes_nothing_back():
+    one = voter()
+    entries = [[2, ["begin"]], [2, ["grant", "d", "b", 1]], [2, ["grant", "d", "c", 1]]]
+    one.hear(5.0, "b", "append", [2, 1, 1, 0, entries, 2])
+    facts = [[["a", 1], ["b", 1], ["c", 1]], [["d", "b", 1, 1]], 1]
+    one.hear(5.1, "b", "snapshot", [2, 1, 3, 2, facts])
+    assert one.last() == (4, 2) and one.kept.base == 3, "what it said it has stays"
+
+
+@FAST
+@given(st.lists(st.one_of(
+    st.tuples(st.just("grant"), st.sampled_from("de"), st.sampled_from("ab"), st.integers(1, 2)),
+    st.tuples(st.just("drop"), st.sampled_from("de")),
+    st.tuples(st.just("admit"), st.sampled_from("ab"), st.integers(1, 2)),
+    st.tuples(st.just("dismiss"), st.sampled_from("ab")),
+    st.tuples(st.just("epoch"), st.integers(0, 30)), st.just(("begin",))), max_size=25))
+def test_facts_and_their_plain_reading_agree(facts):
+    now, duties, voters, fence, seen = ow.Facts(), {}, {}, 0, []
+    for fact in facts:
+        before, now = now, now.apply(fact)
+        if fact[0] == "grant":
+            fence += 1
+            duties[fact[1]] = (fact[2], fact[3], fence)
+            seen.append(fence)
+        elif fact[0] == "drop":
+            duties.pop(fact[1], None)
+        elif fact[0] == "admit":
+            voters.setdefault(fact[1], fact[2])
+        elif fact[0] == "dismiss":
+            voters.pop(fact[1], None)
+        elif fact[0] == "epoch":
+            fence = max(fence, fact[1])
+        assert now.fence == fence >= before.fence
+        assert dict(now.voters) == voters and {d: row for d, *row in now.duties} == {
+            d: list(row) for d, row in duties.items()}
+    assert seen == sorted(set(seen)), "no fence is handed out twice"
+
+
+@FAST
+@given(st.lists(st.tuples(
+    st.sampled_from([*ow.Owner.KINDS, "odd"]),
+    st.lists(st.one_of(st.integers(-2, 5), st.booleans(), st.none(), st.text(max_size=2),
+                       st.lists(st.integers(0, 3), max_size=3)), max_size=8)), max_size=10))
+def test_no_message_breaks_it(messages):
+    one = ow.Owner("a", 1, 1.0, Chance(1), 0.0, None, (("a", 1), ("b", 1), ("c", 1)))
+    for number, (kind, fields) in enumerate(messages):
+        one.hear(0.1 * number, "b", kind, fields)
+        one.tick(0.1 * number + 0.05)
+    assert one.role in range(4) and one.last()[0] >= 1
--- a/valeturn/fleet/owner.py
+++ b/valeturn/fleet/owner.py
@@ -82,9 +82,12 @@
             return self._replace(duties=tuple(sorted([*rows, (duty, owner, life, fence)])), fence=fence)
         if kind == "drop":
             return self._replace(duties=tuple(row for row in self.duties if row[0] != what[0]))
-        if kind == "admit":  # name, life: votes from now on, under this life alone
+        # name, life: votes from now on; an earlier life is dismissed first, by a fact of its own
+        if kind == "admit":
             name, life = what
-            return self._replace(voters=tuple(sorted([(n, x) for n, x in self.voters if n != name] + [(name, life)])))
+            if name in dict(self.voters):
+                return self
+            return self._replace(voters=tuple(sorted([*self.voters, (name, life)])))
         if kind == "dismiss":
             return self._replace(voters=tuple((n, x) for n, x in self.voters if n != what[0]))
         if kind == "epoch":  # after a revival by command: above all that was ever handed out
@@ -101,6 +104,7 @@
     base_term: int = 0
     facts: Facts = Facts()  # the snapshot
     entries: tuple = ()  # behind it
+    blank: bool = False  # it forgot what it had kept under an earlier life, and was not readmitted yet
 
 
 class Persist(NamedTuple):
@@ -129,17 +133,18 @@
     def __init__(self, name, life, lease, chance, now, kept=None, voters=()):
         """lease: s. voters: of a fleet that begins: the same (name, life) pairs everywhere, and no kept."""
         self.name, self.life, self.lease, self.chance = name, life, lease, chance
-        self.blank = kept is None and not voters
-        kept = kept or Kept(facts=Facts(voters=tuple(sorted(voters))))
+        if kept is None:  # founders stand in a snapshot of index 1: one that knows nothing is sent it
+            kept = Kept(base=int(bool(voters)), facts=Facts(voters=tuple(sorted(voters))), blank=not voters)
         self.kept, self.facts = kept, kept.facts
         self.commit = self.applied = kept.base
         self.role, self.leader = FOLLOWER, None
         # A voter that has just started may have answered a leader right before: it waits as if it had.
         self.promised_until = now + self._promise()
         self.backers, self.round, self.rounds = set(), 0, {}  # rounds: number -> [sent at, who answered]
-        self.lease_until, self.beat_at = -1.0, now
+        self.lease_until, self.out_at, self.beat_at = -1.0, now, now
+        self.handing = False  # it has handed over: it never acts in this term again
         self.next, self.match = {}, {}
-        self.out, self.dirty = [], False
+        self.out, self.dirty = [], bool(voters)  # a founder remembers from the first that it is one
         self._wait(now)
 
     # ---- what others ask of it
@@ -155,7 +160,7 @@
         return kept.base + len(kept.entries), kept.entries[-1].term if kept.entries else kept.base_term
 
     def may_vote(self):
-        return not self.blank and (self.name, self.life) in self._voters()
+        return not self.kept.blank and (self.name, self.life) in self._voters()
 
     def _voters(self):
         """Those of the newest configuration in its log, committed or not, as Raft has it."""
@@ -177,7 +182,7 @@
     def tick(self, now):
         """To be called a dozen times a lease. Returns effects, in order."""
         if self.role == LEADER:
-            if now >= self.lease_until and self.rounds:
+            if now >= self.out_at:
                 self._step(now, OUT)
             elif now >= self.beat_at:
                 self._beat(now)
@@ -191,20 +196,29 @@
         changes = [e for e in self._behind(self.commit) if e.fact[0] in ("admit", "dismiss")]
         if not self.leads(now) or fact[0] in ("admit", "dismiss") and (changes or not self._began()):
             return False
+        if tuple(fact[:2]) == ("dismiss", self.name):  # it hands over first
+            return False
         self._append(Entry(self.kept.term, tuple(fact)))
         self._beat(now)
         return True
 
     def hand_over(self, now, name):
         """The leader's, when it drains: asks one that has all to stand at once, and acts no more itself."""
-        if self.leads(now) and self.match.get(name) == self.last()[0]:
-            self.lease_until = now
+        if self.leads(now) and (name, self.last()[0]) in self._matched():
+            self.lease_until, self.handing, self.rounds = now, True, {}
             self.out.append(Send(name, "stand", [self.kept.term]))
         return self._taken()
 
     def readmit(self, now, name, life):
-        """The leader's: a voter's new life counts from the commit on. Also for one that never voted."""
-        return self.propose(now, ("admit", name, life))
+        """The leader's: one that came back without what it had kept votes again, as one that never did
+        would. Two
+        facts, to be asked for until it is done: the earlier life is dismissed, then the new one admitted.
+        In one
+        step a majority with the earlier life and one with the new need not share a voter that remembers."""
+        known = dict(self._voters()).get(name)
+        if known == life:
+            return False
+        return self.propose(now, ("admit", name, life) if known is None else ("dismiss", name))
 
     # ---- messages
 
@@ -221,7 +235,7 @@
     def on_sound(self, now, sender, term, index, last_term):
         """Would it vote? A sounding costs no term, so that one that was cut off upsets nobody."""
         would = self.may_vote() and term > self.kept.term and (last_term, index) >= self.last()[::-1] and (
-            now >= self.promised_until)
+            now >= self.promised_until and not self.leads(now))
         self.out.append(Send(sender, "would", [term, self.kept.term, would]))
 
     def on_would(self, now, sender, asked, term, would):
@@ -235,7 +249,7 @@
     def on_vote(self, now, sender, term, index, last_term, handed):
         # While a promise to a leader lasts a vote is refused even in a higher term, unless that leader
         # asked for it.
-        if not self.may_vote() or now < self.promised_until and not (handed is True and sender != self.leader):
+        if not self.may_vote() or self.leads(now) or now < self.promised_until and handed is not True:
             return
         if term > self.kept.term:
             self._step(now, HIGHER, term=term)
@@ -259,20 +273,27 @@
     def on_append(self, now, sender, term, number, index, before_term, entries, commit):
         """A leader's round: entries after `index`, whose own term is `before_term`."""
         if term < self.kept.term:
-            self.out.append(Send(sender, "appended", [self.kept.term, number, False, 0]))
+            self._answer(sender, number, False, 0)
             return
         if term > self.kept.term:
             self._step(now, HIGHER, term=term)
         self.leader = sender
         self._step(now, LED)
         entries = [Entry(t, tuple(fact)) for t, fact in entries]
+        if index < self.kept.base:  # what stands in the snapshot is committed, and so agrees
+            entries, index = entries[self.kept.base - index:], self.kept.base
+            before_term = self.kept.base_term
         good = self._term_at(index) == before_term
         if good:
             self._take(index, entries)
             self._commit(min(commit, index + len(entries)))
         self.promised_until = now + self._promise()
+        self._answer(sender, number, good, index + len(entries) if good else min(index, self.last()[0]))
+
+    def _answer(self, sender, number, good, index):
+        """Who is blank says so: it counts in no majority, as it may have given its word and forgotten it."""
         self.out.append(Send(sender, "appended", [
-            self.kept.term, number, good, index + len(entries) if good else min(index, self.last()[0])]))
+            self.kept.term, number, good, index, self.life, not self.may_vote()]))
 
     def on_snapshot(self, now, sender, term, number, base, base_term, facts):
         if term < self.kept.term:
@@ -284,25 +305,28 @@
         if base > self.applied:
             voters, duties, fence = facts
             facts = Facts(tuple(map(tuple, voters)), tuple(map(tuple, duties)), fence)
-            self._keep(base=base, base_term=base_term, facts=facts, entries=())
+            behind = self._behind(base) if self._term_at(base) == base_term else ()
+            self._keep(base=base, base_term=base_term, facts=facts, entries=behind)
             self.facts, self.commit, self.applied = facts, base, base
             self.out.append(Told(base, ("snapshot",), facts))
             self._admitted()
         self.promised_until = now + self._promise()
-        self.out.append(Send(sender, "appended", [self.kept.term, number, True, base]))
+        self._answer(sender, number, True, base)
 
-    def on_appended(self, now, sender, term, number, good, index):
+    def on_appended(self, now, sender, term, number, good, index, life, blank):
         if term > self.kept.term:
             self._step(now, HIGHER, term=term)
             return
         if self.role != LEADER or term != self.kept.term:
             return
+        counts = blank is False and (sender, life) in self._voters()
         if good is True:
-            self.match[sender] = max(self.match.get(sender, 0), index)
-            self.next[sender] = self.match[sender] + 1
+            self.next[sender] = max(self.next.get(sender, 1), index + 1)
+            if counts:
+                self.match[sender, life] = max(self.match.get((sender, life), 0), index)
         else:
             self.next[sender] = max(1, min(self.next.get(sender, 1) - 1, index + 1))
-        if number in self.rounds:
+        if number in self.rounds and counts:
             self.rounds[number][1].add(sender)
             self._renew()
         self._advance(now)
@@ -349,7 +373,8 @@
             self._step(now, BACKED)
 
     def do_lead(self, now, term):
-        self.leader, self.rounds = self.name, {}
+        self.leader, self.rounds, self.handing = self.name, {}, False
+        self.lease_until, self.out_at = -1.0, now + self.lease
         self.next, self.match = {}, {}
         self._append(Entry(self.kept.term, ("begin",)))  # commits what earlier terms left
         self._beat(now)
@@ -385,18 +410,23 @@
 
     def _renew(self):
         for at, answered in self.rounds.values():
-            if self._majority(answered):
+            if self._majority(answered) and not self.handing:
                 self.lease_until = max(self.lease_until, at + self.lease)
+        self.out_at = max(self.out_at, self.lease_until)
 
     def _advance(self, now):
         """Commits what a majority has, of its own term alone."""
         index = self.last()[0]
         while index > self.commit and self._term_at(index) == self.kept.term:
-            if self._majority([self.name, *(n for n, at in self.match.items() if at >= index)]):
+            if self._majority([self.name, *(n for n, at in self._matched() if at >= index)]):
                 self._commit(index)
                 break
             index -= 1
 
+    def _matched(self):
+        """(voter, up to where its log is known to agree), of its present life alone."""
+        return [(name, self.match.get((name, life), 0)) for name, life in self._voters()]
+
     def _began(self):
         """Whether an entry of its own term is committed: until then a change of voters is not safe."""
         return self._term_at(self.commit) == self.kept.term
@@ -439,8 +469,9 @@
             self._keep(base_term=self._term_at(base), entries=self._behind(base), base=base, facts=facts)
 
     def _admitted(self):
-        if self.blank and (self.name, self.life) in self.facts.voters:
-            self.blank = False
+        """It votes from here on; not in this term, in which it may have before it forgot."""
+        if self.kept.blank and (self.name, self.life) in self.facts.voters:
+            self._keep(vote=self.leader or "somebody", blank=False)
 
     def _keep(self, **changes):
         self.kept, self.dirty = self.kept._replace(**changes), True
--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -38,6 +38,12 @@
             given["--against"].split(",") if given["--against"] else (),
             sys.stdout,
         )
+    if given["owner"]:
+        from .ownervirtual import main as owner
+
+        first = number(given, "--seed")
+        seeds = range(first, first + max(1, number(given, "--seeds")))
+        return owner(number(given, "--servers"), number(given, "--faults"), seeds, sys.stdout)
     if given["members"]:
         from .fleetvirtual import measure
 
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -16,6 +16,7 @@
                       [--real] [--seconds T]
   valeturn lab fleet-days [--day NAMES] [--servers N] [--gateways G] [--seconds T] [--seed S] [--seeds N]
                           [--against POLICIES]
+  valeturn lab owner --virtual [--servers N] [--faults N] [--seed S] [--seeds N]
   valeturn lab members [--servers N] [--loss S] [--slow S] [--minutes M] [--seed S]
   valeturn version
   valeturn --help
@@ -33,7 +34,8 @@
   lab        The laboratory: `restarts` kills and restarts a server on loopback and counts effects; `store`
              measures the store beside plain sqlite3; `levels` plays a load in virtual time, with levels and
              without; `fleet-days` plays the days that hurt a whole fleet, in virtual time;
-             `members` lets so many servers find and lose each other, in virtual time.
+             `owner` lets servers elect one that acts, under a storm of faults; `members` lets so many find
+             and lose each other; both in virtual time.
   version    Print the version.
 
 Options:
@@ -52,6 +54,8 @@
   --day NAMES      all, or of calm roll herd zone split join, with commas [default: all].
   --gateways G     Emulated gateways [default: 10].
   --seconds T      Of virtual time; of real time with --real [default: 40].
+  --virtual        In virtual time.
+  --faults N       How many faults [default: 100].
   --loss S         Share of messages between servers that never come [default: 0].
   --slow S         Share of servers that answer late [default: 0].
   --real           Real servers on loopback, beside the emulator with the same load.
