--- a/tests/test_fleet_trial.py
+++ b/tests/test_fleet_trial.py
@@ -172,6 +172,22 @@
         days_named(f"calm,{name}s")
 
 
+def test_days_differ_by_their_seed_and_keep_to_what_they_say():
+    drawn = [days.draw("zone", seed, 40, 20, 40.0) for seed in range(1, 21)]
+    slows = [slow for day in drawn for slow in day.slows]
+    assert {slow.failing > 0 for slow in slows} == {True, False} and {day.zones for day in drawn} == {1, 2, 3}
+    assert all(len(slow.servers) == 5 for slow in slows), "one in eight"
+    for name in days.DAYS:
+        day = days.draw(name, 4, 40, 20, 40.0)
+        assert all(0 <= n < 40 for out in day.outs for n in out.servers)
+        assert all(0 <= n < 20 for restart in day.restarts for n in restart.gateways)
+    gone = days.draw("join", 4, 40, 20, 40.0).outs
+    assert sum(len(out.servers) for out in gone) == 24 and gone[-1].at - gone[0].at <= 7.0
+    restart, = days.draw("herd", 4, 40, 20, 40.0).restarts
+    assert len(restart.gateways) == 14 and restart.over == 1.0
+    assert days.draw("split", 4, 40, 20, 40.0).list_lag[0] >= 5.0
+
+
 class Bad(Rules):
     """A module with one fault planted."""
 
--- a/valeturn/lab/levels.py
+++ b/valeturn/lab/levels.py
@@ -75,6 +75,7 @@
     )
 
 
+ROOM = {"lost-tight": 0.8}  # calls that the dependency can hold, over those of the cores' full rate; else 1.2
 SHAPES = {
     "steady": lambda t, seconds: 0.8,
     "step": lambda t, seconds: 0.6 if t < seconds / 3 or t > 2 * seconds / 3 else 1.2,
@@ -85,6 +86,7 @@
     "burst": lambda t, seconds: 1.6 if t % 60 < 8 else 0.6,
     "slow": lambda t, seconds: 0.8,  # the dependency ten times slower for 8 s of each minute
     "failing": lambda t, seconds: 0.8,  # it fails four calls in five for 8 s of each minute
+    "lost-tight": lambda t, seconds: 1.0,  # the same, where the dependency has too little room for that load
     "lost": lambda t, seconds: 1.0,  # a fifth of the servers at a third of the time, cold again after 20 s
 }
 
@@ -99,11 +101,11 @@
         load=lambda t: servers * CAPACITY * SHAPES[shape](t, seconds) if t < seconds else 0.0,
         # With room for 4 x rate x time it can just hold that rate (time / (1 - crowd), crowd a half): a fifth
         # more.
-        call_room=max(4.0, 1.2 * 4 * servers * CAPACITY * CALLS * 0.04),
+        call_room=max(4.0, ROOM.get(shape, 1.2) * 4 * servers * CAPACITY * CALLS * 0.04),
         call_time=0.04,
         slow=(lambda t: 10.0 if trouble(t) else 1.0) if shape == "slow" else (lambda t: 1.0),
         failing=(lambda t: 0.8 if trouble(t) else 0.0) if shape == "failing" else (lambda t: 0.0),
-        crashes=((seconds / 3, 0.2, 20.0, True),) if shape == "lost" else (),
+        crashes=((seconds / 3, 0.2, 20.0, True),) if shape.startswith("lost") else (),
         levels=levels() if with_levels else (),
     )
 
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -48,7 +48,7 @@
   --seed S         For all chance [default: 1].
   --lanes L        Servers killed side by side, each with parties of its own [default: 4].
   --shape NAME     Of load: steady step sine slow-sine mild-sine wild-sine burst
-                   slow failing lost [default: sine].
+                   slow failing lost lost-tight [default: sine].
   --minutes M      Of virtual time [default: 10].
   --servers N      Emulated servers [default: 20].
   --day NAMES      all, or of calm roll herd zone split join, with commas [default: all].
