--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -39,7 +39,24 @@
         return out
 
 
-PLANTED = [KeepsNoPromise, ActsOnPastItsLease, KeepsItsFirstWordsAlone]  # rarer ones are met one by one below
+class VotesTwice(ow.Owner):
+    def on_vote(self, now, sender, term, index, last_term, handed):
+        if term == self.kept.term:
+            self.kept = self.kept._replace(vote=None)
+        super().on_vote(now, sender, term, index, last_term, handed)
+
+
+class LeaseFromTheAnswer(ow.Owner):
+    """The lease counts from when an answer came, however old its question was."""
+
+    def on_appended(self, now, sender, term, number, good, index, life, blank):
+        if number in self.rounds:
+            self.rounds[number][0] = now
+        super().on_appended(now, sender, term, number, good, index, life, blank)
+
+
+PLANTED = [KeepsNoPromise, ActsOnPastItsLease, KeepsItsFirstWordsAlone, VotesTwice, LeaseFromTheAnswer]
+# Rarer ones, such as answers of a forgotten life, are met one by one below.
 
 
 @pytest.mark.parametrize("planted", PLANTED)
--- a/valeturn/fleet/owner.py
+++ b/valeturn/fleet/owner.py
@@ -224,10 +224,9 @@
 
     def hear(self, now, sender, kind, fields):
         """Returns effects. Fields of a wrong form are ignored."""
-        act = self.KINDS.get(kind)
-        if act is not None:
+        if kind in self.KINDS:
             try:
-                act(self, now, sender, *fields)
+                getattr(self, "on_" + kind)(now, sender, *fields)
             except (TypeError, ValueError):
                 self.out = [one for one in self.out if isinstance(one, Persist)]
         return self._taken()
@@ -333,8 +332,7 @@
         if self.next.get(sender, 1) <= self.last()[0]:
             self._append_to(sender)
 
-    KINDS = {"sound": on_sound, "would": on_would, "vote": on_vote, "voted": on_voted, "stand": on_stand,
-             "append": on_append, "snapshot": on_snapshot, "appended": on_appended}
+    KINDS = ("sound", "would", "vote", "voted", "stand", "append", "snapshot", "appended")
 
     # ---- the table's effects
 
