--- a/valeturn/lab/fleetdays/plainer.py
+++ b/valeturn/lab/fleetdays/plainer.py
@@ -53,13 +53,13 @@
             self.held[e.id] = (now + e.left, e.workload)
 
     def sweep(self, now, out):
-        last = now + LAST if self.stop_at is None else max(now + LAST, self.stop_at and now + LAST)
+        last, stops = now + LAST, self.stop_at is not None and now + LAST >= self.stop_at
         for number, (due, _) in list(self.held.items()):
-            if due <= last or self.stop_at is not None and now + LAST >= self.stop_at:
+            if due <= last or stops:
                 del self.held[number]
                 out.append(it.TurnBack(number, 0.0, False))
         for number, (due, workload) in list(self.running.items()):
-            if due <= last or self.stop_at is not None and now + LAST >= self.stop_at:
+            if due <= last or stops:
                 self.running[number] = (float("inf"), workload)
                 out += [it.WriteOff(number), it.Halt(number)]
 
--- a/valeturn/lab/fleetdays/servers.py
+++ b/valeturn/lab/fleetdays/servers.py
@@ -121,13 +121,10 @@
             self.world.witness.began(self.subs[a.id], self, self.world.now)
             super().do_start(a)
 
-    def do_health(self, a):
-        self.good = a.good
-
     def do_say(self, a):
         self.level = a.value
 
-    DOES = {**Server.DOES, it.Start: do_start, it.Health: do_health, it.Say: do_say}
+    DOES = {**Server.DOES, it.Start: do_start, it.Say: do_say}
 
     # ---- the way out
 
--- a/valeturn/lab/fleetdays/world.py
+++ b/valeturn/lab/fleetdays/world.py
@@ -34,7 +34,7 @@
 
     def __init__(self, day, make_rules):
         self.day, self.make, self.witness = day, make_rules, seen.Witness()
-        self.turn, self.unserved_why = 0, {}
+        self.unserved_why = {}
         calls = day.servers * d.RATE * d.CALLS * d.CALL_TIME
         scene = Scene(day.servers, day.seconds, settings(day), d.MIX, load=day.rate, call_time=d.CALL_TIME,
                       call_room=max(4.0, 2 * day.room * calls))
@@ -47,7 +47,6 @@
         for restart in day.restarts:
             for n in restart.gateways:
                 self.at(restart.at + restart.over * self.chance.share(), self.gateways[n].forget)
-        self.offered = 0.0
         self.popular = [0.0]
         for rank in range(1, SUBJECTS + 1):
             self.popular.append(self.popular[-1] + 1.0 / (rank + POPULAR) ** 0.9)
--- a/valeturn/lab/fleetvirtual.py
+++ b/valeturn/lab/fleetvirtual.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 import time
 
 from ..fleet import membership as ms
 from ..fleet import wire
 from ..transport.chance import Chance
+from .virtual import Timeline, percentile
 
 TICK = 0.1  # s of a server's own clock between looks
 DELAY = 0.002  # s one way at the least, and a tail of as much at the mean
@@ -70,11 +70,12 @@
             self.hear(*one)
 
 
-class Net:
+class Net(Timeline):
     def __init__(self, count, seed, loss=0.0, slow=0.0, bytes_too=False):
         """loss: share of messages that never come. slow: share of the servers that answer late, as if short
         of CPU."""
-        self.now, self.heap, self.sequence, self.chance = 0.0, [], 0, Chance(seed)
+        super().__init__()
+        self.chance = Chance(seed)
         for _ in range(8):
             self.chance.share()
         self.loss, self.bytes_too = loss, bytes_too
@@ -88,16 +89,6 @@
         for node in self.nodes:
             self.at(TICK * self.chance.share(), node.tick, node.life)
 
-    def at(self, delay, action, *args):
-        self.sequence += 1
-        heapq.heappush(self.heap, (self.now + delay, self.sequence, action, args))
-
-    def run(self, until):
-        while self.heap and self.heap[0][0] <= until:
-            self.now, _, action, args = heapq.heappop(self.heap)
-            action(*args)
-        self.now = until
-
     def send(self, node, address, kind, fields):
         self.sent += 1
         if self.bytes_too:
@@ -150,11 +141,6 @@
         return None
 
 
-def percentile(values, share):
-    values = sorted(values)
-    return values[min(len(values) - 1, int(share * len(values)))] if values else float("nan")
-
-
 def measure(count, seed, loss, slow, minutes, out):
     """Joins so many, leaves them alone for a while, then kills one after another. Prints one line of
     figures."""
--- a/valeturn/lab/ownervirtual.py
+++ b/valeturn/lab/ownervirtual.py
@@ -7,10 +7,9 @@
 
 from __future__ import annotations
 
-import heapq
-
 from ..fleet.owner import DRIFT, Owner, Persist, Send, Told
 from ..transport.chance import Chance
+from .virtual import Timeline, percentile
 
 LEASE = 1.0  # s
 TICK = LEASE / 12
@@ -95,10 +94,10 @@
     return sum(31 ** n * b for n, b in enumerate(name.encode()))
 
 
-class Storm:
+class Storm(Timeline):
     def __init__(self, count, seed, loss=0.05, doubled=0.02, late=0.02, owner=Owner):
-        self.now, self.heap, self.sequence, self.seed = 0.0, [], 0, seed
-        self.chance = Chance(seed)
+        super().__init__()
+        self.seed, self.chance = seed, Chance(seed)
         for _ in range(8):
             self.chance.share()
         self.loss, self.doubled, self.late, self.make = loss, doubled, late, owner
@@ -111,17 +110,6 @@
             voter.start(founding)
         self.wiped = set()
 
-    def at(self, delay, action, *args):
-        self.sequence += 1
-        heapq.heappush(self.heap, (self.now + delay, self.sequence, action, args))
-
-    def run(self, until):
-        while self.heap and self.heap[0][0] <= until:
-            self.now, _, action, args = heapq.heappop(self.heap)
-            action(*args)
-            self.look()
-        self.now = until
-
     def look(self):
         acting = [(v.name, v.owner.kept.term) for v in self.voters.values()
                   if v.up and not v.stopped and v.owner.leads(v.clock())]
@@ -231,11 +219,6 @@
     return storm
 
 
-def percentile(values, share):
-    values = sorted(values)
-    return values[min(len(values) - 1, int(share * len(values)))] if values else float("nan")
-
-
 def owner_lost(count, seed, times=20):
     """Seconds without an owner after its loss, so many times, with nothing else wrong."""
     storm, out = Storm(count, seed, loss=0.0, doubled=0.0, late=0.0), []
