Fleet: links, founding, votes on disk, duties, fences, shares of calls; a part of the server

Need: the owner's decision stood beside the program. Now [fleet] and [duty NAME] in the operator's file open links between servers (one a pair, bounded, introduced by name and life), found the fleet by agreement of all named voters, keep the vote in a folder that no other server can use, and run duties: a command under a guard process that ends it with the lease, and shares of the dependency's calls told to the module as today's limit. A part hears of the notice to leave, and says itself which changes it takes.

--- a/tests/disk.py
+++ b/tests/disk.py
@@ -5,7 +5,7 @@
 import random
 
 from valeturn.store import bounds, clock
-from valeturn.store.helper import Inline
+from valeturn.transport.helper import Inline
 from valeturn.store.kept import Kept
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,11 +12,11 @@
     "transport": set(),
     "protocol": set(),
     "options": set(),
-    "store": {"options"},
+    "store": {"options", "transport"},
     "levels": {"options", "interface"},
     "metrics": {"options"},
     "control": {"options", "transport"},
-    "fleet": {"options", "transport"},
+    "fleet": {"options", "transport", "control"},
     "routing": {"transport", "protocol", "interface", "levels", "store"},
     "wirehost": DECISIONS,
 }
--- a/valeturn/control/requests.py
+++ b/valeturn/control/requests.py
@@ -32,10 +32,27 @@
     pass
 
 
+class Fleet(NamedTuple):
+    """What is asked of a server's part of the fleet."""
+
+    what: str
+    server: str | None
+
+
+class Fenced(NamedTuple):
+    """A request under a number that only rises, of one who acts for the fleet."""
+
+    name: str
+    number: int
+    request: object
+
+
 class Bad(NamedTuple):
     why: str
 
 
+FLEET = ("hand-over", "leave", "revive", "admit", "dismiss")
+NAMING = ("admit", "dismiss")  # these want a server's name
 PLAIN = {"status": Status, "free": Free, "metrics": Metrics}
 
 
@@ -45,7 +62,20 @@
         raw = json.loads(line)
     except (ValueError, RecursionError):
         return Bad("wants a JSON object on one line")
-    what = raw.get("do") if isinstance(raw, dict) else None
+    if not isinstance(raw, dict):
+        return Bad("wants a JSON object on one line")
+    request, fence = _request(raw), raw.get("fence")
+    if fence is None or isinstance(request, Bad):
+        return request
+    pair = isinstance(fence, list) and len(fence) == 2
+    if not (pair and isinstance(fence[0], str) and 0 < len(fence[0]) <= 64
+            and isinstance(fence[1], int) and not isinstance(fence[1], bool) and 0 <= fence[1] < 2**63):
+        return Bad("fence wants the name of a duty and its number")
+    return Fenced(*fence, request)
+
+
+def _request(raw):
+    what = raw.get("do")
     if isinstance(what, str) and what in PLAIN:
         return PLAIN[what]()
     if what == "hold":
@@ -56,7 +86,14 @@
         if not number or not math.isfinite(seconds) or not 0 < seconds <= LONGEST_HOLD:
             return Bad(f"for wants seconds up to {LONGEST_HOLD:g}")
         return Hold(level, float(seconds))
-    return Bad("do wants status, metrics, hold or free")
+    if what == "fleet":
+        asked, server = raw.get("what"), raw.get("server")
+        if asked not in FLEET or server is not None and not isinstance(server, str):
+            return Bad(f"what wants one of {', '.join(FLEET)}")
+        if asked in NAMING and not server:
+            return Bad(f"{asked} wants a server")
+        return Fleet(asked, server)
+    return Bad("do wants status, metrics, hold, free or fleet")
 
 
 def good(**more):
@@ -82,6 +119,15 @@
         return whole
 
 
+def fleet_line(fleet):
+    """One line of a server's part of its fleet."""
+    alive = sum(member["state"] in ("alive", "suspected") for member in fleet["members"])
+    left = fleet["lease_left_s"]
+    return (f"fleet {fleet['name']}: {alive} there, owner {fleet['owner'] or 'NONE'}"
+            + ("" if left is None else f" (this server, lease left {left:g} s)")
+            + f", term {fleet['term']}, fence {fleet['fence']}, {fleet['role']}")
+
+
 def human(name, status):
     """A server's status for a person: what level and why comes first."""
     level, out = status.get("level"), status.get("out", {})
@@ -114,6 +160,8 @@
         f"{'good' if beliefs['good'] else 'NOT GOOD'}, cpu {100 * beliefs['cpu_share']:.0f} %, "
         f"connections {beliefs['connections']}"
     )
+    if status.get("fleet"):
+        lines.append("  " + fleet_line(status["fleet"]))
     if "kept_keys" in beliefs:
         lines.append(
             f"  kept keys {beliefs['kept_keys']}, log {beliefs['kept_log_mb']:.1f} MB, "
--- a/valeturn/control/top.py
+++ b/valeturn/control/top.py
@@ -23,6 +23,7 @@
     "written off/s",
     "cpu %",
     "kept keys",
+    "owner",
     "state",
 )
 EVERY = 1.0  # s between looks
@@ -60,6 +61,7 @@
         rate("written_off"),
         f"{100 * beliefs['cpu_share']:.0f}",
         str(beliefs.get("kept_keys", "-")),
+        (now.get("fleet") or {}).get("owner") or "-",
         state,
     ]
 
--- a/valeturn/fleet/membership.py
+++ b/valeturn/fleet/membership.py
@@ -1,13 +1,10 @@
 """Who is there: probes, suspicion, refutation, gossip. No I/O.
 
 After "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol" (Das, Gupta,
-Motivala)
-and "Lifeguard: Local Health Awareness for More Accurate Failure Detection" (Dadgar, Phillips, Currey): each
-period
-one member is probed, directly and then through others; who does not answer is suspected, and gone only when
-nobody
-refuted it in time; a server whose own probes fail or whose nacks don't come doubts itself first and waits
-longer.
+Motivala) and "Lifeguard: Local Health Awareness for More Accurate Failure Detection" (Dadgar, Phillips,
+Currey): each period one member is probed, directly and then through others; who does not answer is
+suspected, and gone only when nobody refuted it in time; a server whose own probes fail or whose nacks don't
+come doubts itself first and waits longer.
 
 Told by `hear` and `tick`; both return what to send, as (name, address, kind, fields), and `changes` has what
 became of members since it was read last.
@@ -23,9 +20,8 @@
 # States of a member as it is known here.
 UNKNOWN, ALIVE, SUSPECTED, GONE, LEFT = range(5)
 STATES = ("unknown", "alive", "suspected", "gone", "left")
-# How what is told of a member stands to what is known: of a newer life, or of the same life and a newer,
-# the same
-# or an older incarnation. What is told of an older life is as OLDER.
+# How what is told of a member stands to what is known: of a newer life, or of the same life and a newer, the
+# same or an older incarnation. What is told of an older life is as OLDER.
 NEW_LIFE, NEWER, SAME, OLDER = range(4)
 
 # (known, told, how it stands) -> (next state, effect). A pair that is missing changes nothing: OLDER never
@@ -66,7 +62,7 @@
 CONFIRMATIONS = 3  # others' suspicions after which the least time holds
 DOUBT = 8  # steps of doubt in oneself at the most, each a period longer: Lifeguard's S
 SPREAD = 4.0  # times the log (to ten) of the number of members that a piece of news is sent on
-CHAT = 0.2  # s between messages of news alone, while there is some: five rounds a period, as others have it,
+CHAT = 0.2  # periods between messages of news alone, while there is some: five rounds a period, as others do,
 # so that a suspicion and its refutation go round well within the least suspicion
 TO = 2  # members that each such message goes to
 SYNC = 30.0  # s between whole lists with one other, which heals what gossip missed
@@ -91,8 +87,7 @@
 
 class Change(NamedTuple):
     """What became of a member: one of joined, refuted, returned, reborn, suspected, lost, went; or of this
-    server's
-    own name, name_taken."""
+    server's own name, name_taken."""
 
     name: str
     what: str
@@ -120,16 +115,16 @@
 
 
 class Membership:
-    def __init__(self, name, address, zone, life, seeds, chance, now):
+    def __init__(self, name, address, zone, life, seeds, chance, now, period=PERIOD):
         """seeds: addresses to join by. life: larger than that of any earlier start of this name, as far as
-        this
-        server can tell; where another's list knows better it takes a larger one."""
+        this server can tell; where another's list knows better it takes a larger one."""
+        self.period = period  # s between probes
         self.me = Member(name, address, zone, life, 0, ALIVE, now)
         self.members = {}  # name -> Member, without this one
         self.seeds, self.chance = [seed for seed in seeds if seed != address], chance
         self.changes, self.leaving = [], False
         self.doubt, self.number = 0, 0
-        self.probe, self.next_probe, self.order = None, now + PERIOD * chance.share(), []
+        self.probe, self.next_probe, self.order = None, now + self.period * chance.share(), []
         self.relayed = {}  # number of a probe for others -> (who asked, its number, until, who is probed)
         self.suspicions = {}  # name -> [since, those who confirmed it]
         self.gossip = {}  # name -> [times sent, news]
@@ -169,7 +164,7 @@
             return self.out
         self._expire(now)
         if not any(m.state in (ALIVE, SUSPECTED) for m in self.members.values()) and now >= self.join_at:
-            self.join_at = now + PERIOD * (1 + self.chance.share())
+            self.join_at = now + self.period * (1 + self.chance.share())
             for seed in self.seeds:
                 self._join_by(seed)
         if self.probe is not None:
@@ -177,7 +172,7 @@
         if self.probe is None and now >= self.next_probe:
             self._begin(now)
         if self.gossip and now >= self.next_chat:
-            self.next_chat = now + CHAT
+            self.next_chat = now + CHAT * self.period
             for member in self._some(TO, ()):
                 self._send(member, "news", [])
         if now >= self.next_sync:
@@ -198,7 +193,7 @@
             self._join_by(away[int(self.chance.share() * len(away))])
 
     def _period(self):
-        return PERIOD * (1 + self.doubt)
+        return self.period * (1 + self.doubt)
 
     def _begin(self, now):
         """The next member in an order that is drawn anew each round: each is probed once a round."""
@@ -238,7 +233,7 @@
             member = self.members[name]
             if now - since >= self.suspicion_time(len(confirmed) - 1):
                 self._told(now, member._replace(state=GONE).news())
-            elif now - asked >= PERIOD:  # its own word refutes the surest: gossip may miss one in twenty
+            elif now - asked >= self.period:  # its own word refutes the surest: gossip may miss one in twenty
                 self.suspicions[name][2] = now
                 self._send(member, "ping", [self._number()], about=member)
         for number, (who, theirs, until, _) in list(self.relayed.items()):
@@ -255,7 +250,7 @@
     def suspicion_time(self, confirmations):
         """s from a suspicion to gone: less for each that confirms it by itself."""
         count = 1 + len([m for m in self.members.values() if m.state in (ALIVE, SUSPECTED)])
-        least = SUSPICION * max(1.0, math.log10(max(2, count))) * PERIOD * (1 + self.doubt)
+        least = SUSPICION * max(1.0, math.log10(max(2, count))) * self.period * (1 + self.doubt)
         share = math.log(1 + min(CONFIRMATIONS, max(0, confirmations))) / math.log(1 + CONFIRMATIONS)
         return least * (1 + (SLACK - 1) * (1 - share))
 
@@ -263,8 +258,7 @@
 
     def hear(self, now, sender, life, kind, fields, address):
         """A message from a peer, which came over a link from that address; what can't be read is ignored.
-        Returns
-        what to send."""
+        Returns what to send."""
         self.out = []
         act = self.KINDS.get(kind)
         known = self.members.get(sender)
@@ -291,7 +285,7 @@
         target = self.members.get(name) if isinstance(name, str) else None
         if target is not None and isinstance(theirs, int):
             number = self._number()
-            self.relayed[number] = sender, theirs, now + DIRECT * PERIOD, name
+            self.relayed[number] = sender, theirs, now + DIRECT * self.period, name
             self._send(target, "ping", [number], about=target)
 
     def on_ack(self, now, sender, fields):
@@ -406,9 +400,8 @@
         self.out.append((member.name, member.address, kind, [*fields, self._news(about)]))
 
     def _news(self, about=None):
-        """What was sent the least often so far; what is suspected of whom it goes to comes first, so that
-        it can
-        be refuted at once."""
+        """What was sent the least often so far; what is suspected of whom it goes to comes first, so that it
+        can be refuted at once."""
         most = SPREAD * math.ceil(math.log10(2 + len(self.members)))
         chosen = sorted(self.gossip.items(), key=lambda item: (
             about is None or item[0] != about.name, item[1][0]))[:GOSSIP - 1]
--- a/valeturn/fleet/owner.py
+++ b/valeturn/fleet/owner.py
@@ -1,19 +1,15 @@
 """Who owns what the fleet does once: terms, votes, a leader's lease, a small log of facts. No I/O.
 
 After "In Search of an Understandable Consensus Algorithm" (Raft; Ongaro, Ousterhout) and Ongaro's thesis
-(pre-vote,
-leadership transfer, one change of voters at a time). What differs, and why it holds, is in
+(pre-vote, leadership transfer, one change of voters at a time). What differs, and why it holds, is in
 docs/design/one-owner.md:
 
-- A leader's lease: it acts only until `lease` after the sending of the last round that a majority answered,
-by
-  its own clock, which goes on through suspend; who answered gives no vote for `lease` x (1 + DRIFT) by its
-  own. So no
-  other can lead while it acts, as long as no clock runs DRIFT faster than another.
-- What a voter must not forget (term, vote, log) is handed out as a Persist effect, which has to be durable
-before
-  the sends after it go out. A voter that came back without it is *blank*: it gives no vote and counts in no
-  majority until the leader has committed a fact that names its new life.
+- A leader's lease: it acts only until `lease` after the sending of the last round that a majority
+  answered, by its own clock, which goes on through suspend; who answered gives no vote for `lease` x (1 +
+  DRIFT) by its own. So no other can lead while it acts, as long as no clock runs DRIFT faster than another.
+- What a voter must not forget (term, vote, log) is handed out as a Persist effect, which has to be
+  durable before the sends after it go out. A voter that came back without it is *blank*: it gives no vote
+  and counts in no majority until the leader has committed a fact that names its new life.
 
 The log's facts are a few: who owns a duty under which fence, who votes. Its state is the snapshot.
 """
@@ -25,11 +21,9 @@
 # Roles.
 FOLLOWER, SOUNDING, CANDIDATE, LEADER = range(4)
 ROLES = ("follower", "sounding", "candidate", "leader")
-# Inputs that move a role. HIGHER: a message of a higher term. LED: one of this term's leader. SILENT:
-# nothing of a
-# leader for the election time. BACKED: a majority would vote, or has. OUT: the lease could not be renewed
-# in time.
-# HANDED: the leader asks this one to stand at once.
+# Inputs that move a role. HIGHER: a message of a higher term. LED: one of this term's leader. SILENT: nothing
+# of a leader for the election time. BACKED: a majority would vote, or has. OUT: the lease could not be
+# renewed in time. HANDED: the leader asks this one to stand at once.
 HIGHER, LED, SILENT, BACKED, OUT, HANDED = range(6)
 
 # (role, input) -> (next role, effect). A pair that is missing changes nothing.
@@ -130,11 +124,14 @@
 class Owner:
     """One voter, or one that only listens. `kept` is what it found on its disk, or None where it has none."""
 
-    def __init__(self, name, life, lease, chance, now, kept=None, voters=()):
-        """lease: s. voters: of a fleet that begins: the same (name, life) pairs everywhere, and no kept."""
+    def __init__(self, name, life, lease, chance, now, kept=None, voters=(), fence=0, term=0):
+        """lease: s. voters: of a fleet that begins: the same (name, life) pairs everywhere, and no kept.
+        fence: above which its numbers begin; term: after which its terms do, where an earlier fleet is
+        revived."""
         self.name, self.life, self.lease, self.chance = name, life, lease, chance
         if kept is None:  # founders stand in a snapshot of index 1: one that knows nothing is sent it
-            kept = Kept(base=int(bool(voters)), facts=Facts(voters=tuple(sorted(voters))), blank=not voters)
+            facts = Facts(voters=tuple(sorted(voters)), fence=fence)
+            kept = Kept(term=term, base=int(bool(voters)), facts=facts, blank=not voters)
         self.kept, self.facts = kept, kept.facts
         self.commit = self.applied = kept.base
         self.role, self.leader = FOLLOWER, None
@@ -204,17 +201,16 @@
 
     def hand_over(self, now, name):
         """The leader's, when it drains: asks one that has all to stand at once, and acts no more itself."""
-        if self.leads(now) and (name, self.last()[0]) in self._matched():
+        if self.leads(now) and (name, self.last()[0]) in self.matched():
             self.lease_until, self.handing, self.rounds = now, True, {}
             self.out.append(Send(name, "stand", [self.kept.term]))
         return self._taken()
 
     def readmit(self, now, name, life):
         """The leader's: one that came back without what it had kept votes again, as one that never did
-        would. Two
-        facts, to be asked for until it is done: the earlier life is dismissed, then the new one admitted.
-        In one
-        step a majority with the earlier life and one with the new need not share a voter that remembers."""
+        would. Two facts, to be asked for until it is done: the earlier life is dismissed, then the new one
+        admitted. In one step a majority with the earlier life and one with the new need not share a voter
+        that remembers."""
         known = dict(self._voters()).get(name)
         if known == life:
             return False
@@ -282,7 +278,7 @@
         if index < self.kept.base:  # what stands in the snapshot is committed, and so agrees
             entries, index = entries[self.kept.base - index:], self.kept.base
             before_term = self.kept.base_term
-        good = self._term_at(index) == before_term
+        good = self.term_of(index) == before_term
         if good:
             self._take(index, entries)
             self._commit(min(commit, index + len(entries)))
@@ -304,7 +300,7 @@
         if base > self.applied:
             voters, duties, fence = facts
             facts = Facts(tuple(map(tuple, voters)), tuple(map(tuple, duties)), fence)
-            behind = self._behind(base) if self._term_at(base) == base_term else ()
+            behind = self._behind(base) if self.term_of(base) == base_term else ()
             self._keep(base=base, base_term=base_term, facts=facts, entries=behind)
             self.facts, self.commit, self.applied = facts, base, base
             self.out.append(Told(base, ("snapshot",), facts))
@@ -404,7 +400,7 @@
         start = first - 1 - kept.base
         entries = [[e.term, list(e.fact)] for e in kept.entries[start:start + MOST]]
         self.out.append(Send(name, "append", [
-            kept.term, self.round, first - 1, self._term_at(first - 1), entries, self.commit]))
+            kept.term, self.round, first - 1, self.term_of(first - 1), entries, self.commit]))
 
     def _renew(self):
         for at, answered in self.rounds.values():
@@ -415,23 +411,23 @@
     def _advance(self, now):
         """Commits what a majority has, of its own term alone."""
         index = self.last()[0]
-        while index > self.commit and self._term_at(index) == self.kept.term:
-            if self._majority([self.name, *(n for n, at in self._matched() if at >= index)]):
+        while index > self.commit and self.term_of(index) == self.kept.term:
+            if self._majority([self.name, *(n for n, at in self.matched() if at >= index)]):
                 self._commit(index)
                 break
             index -= 1
 
-    def _matched(self):
+    def matched(self):
         """(voter, up to where its log is known to agree), of its present life alone."""
         return [(name, self.match.get((name, life), 0)) for name, life in self._voters()]
 
     def _began(self):
         """Whether an entry of its own term is committed: until then a change of voters is not safe."""
-        return self._term_at(self.commit) == self.kept.term
+        return self.term_of(self.commit) == self.kept.term
 
     # ---- the log
 
-    def _term_at(self, index):
+    def term_of(self, index):
         kept = self.kept
         if index == kept.base:
             return kept.base_term
@@ -447,7 +443,7 @@
         """Entries of a leader: what contradicts them goes, what agrees stays."""
         kept = self.kept
         for offset, entry in enumerate(entries, 1):
-            if index + offset > kept.base and self._term_at(index + offset) != entry.term:
+            if index + offset > kept.base and self.term_of(index + offset) != entry.term:
                 at = index + offset - kept.base - 1
                 self._keep(entries=(*kept.entries[:at], *entries[offset - 1:]))
                 return
@@ -464,7 +460,7 @@
             facts = self.kept.facts
             for entry in self.kept.entries[:base - self.kept.base]:
                 facts = facts.apply(entry.fact)
-            self._keep(base_term=self._term_at(base), entries=self._behind(base), base=base, facts=facts)
+            self._keep(base_term=self.term_of(base), entries=self._behind(base), base=base, facts=facts)
 
     def _admitted(self):
         """It votes from here on; not in this term, in which it may have before it forgot."""
--- a/valeturn/interface.py
+++ b/valeturn/interface.py
@@ -149,6 +149,12 @@
     gives: Reduced
 
 
+class CallsShare(NamedTuple):
+    """Calls out that this server may have of all at the dependency, from now on."""
+
+    share: float
+
+
 class Woken(NamedTuple):
     mark: int
     gauges: Gauges
--- a/valeturn/lab/explore.py
+++ b/valeturn/lab/explore.py
@@ -1,14 +1,10 @@
 """A model checker of our own for the owner's decision: all orders of messages, losses, doubles, timeouts,
-pauses and
-restarts, breadth first, up to stated bounds.
-
-The real decision is driven. Time is one clock in steps of half a lease, which any voter may sleep
-through: an
-owner that is stopped is one that does not tick. States are kept by a hash of what each voter holds, with
-all times
-relative to now, and what is on its way; the voters are alike at the start, so that only the first of them
-may stand first.
-What is found is the shortest way there, as a story that can be played again.
+pauses and restarts, breadth first, up to stated bounds.
+
+The real decision is driven. Time is one clock in steps of half a lease, which any voter may sleep through:
+an owner that is stopped is one that does not tick. States are kept by a hash of what each voter holds, with
+all times relative to now, and what is on its way; the voters are alike at the start, so that only the first
+of them may stand first. What is found is the shortest way there, as a story that can be played again.
 """
 
 from __future__ import annotations
@@ -248,8 +244,7 @@
 
 def replay(actions_, make=Owner, count=3, start=None):
     """Plays a story again; the broken invariant at its end, or None: also where it can't go on so, as the
-    message
-    that is to arrive was never sent."""
+    message that is to arrive was never sent."""
     world, broken = start or begin(make, count), None
     for action in actions_:
         what, which, text = action
--- a/valeturn/lab/fleetvirtual.py
+++ b/valeturn/lab/fleetvirtual.py
@@ -1,9 +1,8 @@
-"""Many members of a fleet in virtual time: a network that loses, delays and cuts, servers that stop, die
-and are back.
+"""Many members of a fleet in virtual time: a network that loses, delays and cuts, servers that stop, die and
+are back.
 
 The membership is the real one; messages go through the real bytes where `bytes_too` says so. A clock of its
-own for each
-server may run fast or slow.
+own for each server may run fast or slow.
 """
 
 from __future__ import annotations
--- a/valeturn/lab/ownervirtual.py
+++ b/valeturn/lab/ownervirtual.py
@@ -1,6 +1,6 @@
 """The owner's decision in virtual time, under a storm: messages lost, doubled, late and out of order, cuts,
-stops,
-kills with and without their disk, hand-overs, clocks of their own; a witness that looks at every moment.
+stops, kills with and without their disk, hand-overs, clocks of their own; a witness that looks at every
+moment.
 
 The witness knows the true time and asks each owner by that owner's clock, as its duties would.
 """
--- a/valeturn/lab/storebench.py
+++ b/valeturn/lab/storebench.py
@@ -22,7 +22,7 @@
 
 from ..store import bounds, clock, entry
 from ..store.files import Files
-from ..store.helper import Helper
+from ..transport.helper import Helper
 from ..store.index import Index
 from ..store.kept import Kept
 from ..store.snapshots import Snapshotting
@@ -134,7 +134,7 @@
 import sys, time
 sys.path.insert(0, {root!r})
 from valeturn.lab import storebench
-from valeturn.store.helper import Inline
+from valeturn.transport.helper import Inline
 before, began = storebench.resident(), time.perf_counter()
 {what}
 print(time.perf_counter() - began, storebench.resident() - before)
--- a/valeturn/lab/victim.py
+++ b/valeturn/lab/victim.py
@@ -13,6 +13,7 @@
 import sys
 
 from ..program.commands import serve
+from ..program.seams import Seams
 from ..store.files import Files
 
 
@@ -67,7 +68,7 @@
         for line in open(settings, encoding="utf-8")
         if line.startswith("folder")
     )
-    return serve(config, settings=settings, files=Deadly(folder, point))
+    return serve(config, settings=settings, seams=Seams(files=Deadly(folder, point)))
 
 
 if __name__ == "__main__":
--- a/valeturn/options/sections.py
+++ b/valeturn/options/sections.py
@@ -9,6 +9,7 @@
 
 from . import schema
 
+
 class Unusable(Exception):
     """The operator's file can't be used; `faults` has a line for each thing that is wrong."""
 
@@ -22,6 +23,8 @@
     options, faults = schema.load(path, [module.SHAPE for module in declared.values()])
     if options is not None:
         faults = [fault for name, built in options.sections.items() for fault in declared[name].fit(built, c)]
+        for name, built in options.sections.items():  # what shows only beside other sections
+            faults += getattr(declared[name], "beside", lambda built, sections: [])(built, options.sections)
     if faults:
         raise Unusable(faults)
     return options
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -10,13 +10,20 @@
   valeturn top SOCKET...
   valeturn level hold NAME --for TIME SOCKET...
   valeturn level free SOCKET...
+  valeturn fleet status SOCKET... [--json]
+  valeturn fleet hand-over [--to NAME] SOCKET
+  valeturn fleet (admit | dismiss) NAME SOCKET
+  valeturn fleet leave SOCKET
+  valeturn fleet revive [--i-know] SOCKET
+  valeturn fleet fenced-replace FILE [--fence N]
   valeturn lab restarts [--kills N] [--seed S] [--lanes L] [--keep DIR]
   valeturn lab store [--keys N] [--folder DIR]
   valeturn lab levels [--shape NAME] [--minutes M] [--servers N] [--seed S] [--seeds N] [--report DIR]
                       [--real] [--seconds T]
   valeturn lab fleet-days [--day NAMES] [--servers N] [--gateways G] [--seconds T] [--seed S] [--seeds N]
                           [--against POLICIES]
-  valeturn lab owner --virtual [--servers N] [--faults N] [--seed S] [--seeds N]
+  valeturn lab owner [--virtual] [--servers N] [--faults N] [--seed S] [--seeds N] [--no-fences] [--keep DIR]
+  valeturn lab shares [--servers N] [--seed S] [--seeds N]
   valeturn lab members [--servers N] [--loss S] [--slow S] [--minutes M] [--seed S]
   valeturn version
   valeturn --help
@@ -31,6 +38,10 @@
   status     Of running servers, by the control sockets that their operator's files name: level and why, work,
              answers. `metrics`: the same as Prometheus's text, where [metrics] is on. `level hold` holds a
              level by hand for a time, logged; `level free` ends that.
+  fleet      Of servers that talk to each other: who is there and who owns what; the owner hands over, takes a
+             voter in or votes one out; a server goes out of the fleet and serves on; one that is left of a
+             majority lost for good goes on alone. `fenced-replace` replaces a file with standard input unless
+             a higher number was there: exit code 3 then.
   lab        The laboratory: `restarts` kills and restarts a server on loopback and counts effects; `store`
              measures the store beside plain sqlite3; `levels` plays a load in virtual time, with levels and
              without; `fleet-days` plays the days that hurt a whole fleet, in virtual time;
@@ -42,6 +53,10 @@
   --config FILE    The configuration; else the variable EDGE_CONFIG names it.
   --settings FILE  The operator's own file (deploy/valeturn.ini has all it may hold).
   --verbose        Log each answer with its call, workload, kind and time.
+  --to NAME        The voter that is to be the next owner.
+  --i-know         No server of the lost majority will come back with what it knew.
+  --fence N        The number under which it is done; else VALETURN_FENCE.
+  --no-fences      What the duty touches compares no numbers: to see that the storm does harm then.
   --json           The whole status, for programs.
   --for TIME       How long a level is held, such as 5min: a day at the most.
   --kills N        How often the server is killed [default: 50].
@@ -83,8 +98,10 @@
 from . import configuration, logs
 
 PACKAGE = __name__.partition(".")[0]
-# First word -> the module that carries it out, with run(given) for docopt's words. lab has words like others.
-COMMANDS = {"lab": "lab.commands", "store": "store.commands", "status": "control.commands",
+# First word -> the module that carries it out, with run(given) for docopt's words. lab and fleet, which come
+# first, have words like the others'.
+COMMANDS = {"lab": "lab.commands", "fleet": "fleet.commands", "store": "store.commands",
+            "status": "control.commands",
             "metrics": "control.commands", "top": "control.commands", "level": "control.commands"}
 
 
@@ -101,8 +118,8 @@
         raise configuration.Wrong(str(unusable)) from None
 
 
-def serve(path=None, verbose=False, settings=None, files=None):
-    """files: the store's way to the disk, in place of the real one; the laboratory's."""
+def serve(path=None, verbose=False, settings=None, seams=None):
+    """seams: a laboratory's."""
     from .server import Server
 
     signals.hold(signal.SIGHUP)  # one that comes before the server listens for it must not end the process
@@ -114,7 +131,7 @@
         return fresh, operators_file(settings, fresh, receive)
 
     try:
-        return Server(c, logs.set_up(c.name), verbose, again, options, files).serve()
+        return Server(c, logs.set_up(c.name), verbose, again, options, seams).serve()
     except OSError as error:  # the address to listen on is taken or not this machine's
         print(f"valeturn: listen: {error}", file=sys.stderr)
     return 2
--- a/valeturn/program/parts/__init__.py
+++ b/valeturn/program/parts/__init__.py
@@ -24,6 +24,8 @@
 TABLE = (
     Declared("store", "store.options", "program.parts.store"),
     Declared("level", "levels.options", "program.parts.levels"),
+    Declared("fleet", "fleet.options", "program.parts.fleet"),
+    Declared("duty", "fleet.dutyoptions", "program.parts.duties"),
     Declared("metrics", "metrics.options", "program.parts.metrics"),
     Declared("control", "control.options", "program.parts.control"),
 )
@@ -36,7 +38,7 @@
 
 def open_all(server, options):
     """section -> its part, for each section that the operator's file has. Raises configuration.Wrong."""
-    opened = {}
+    opened = server.parts = {}  # a part may ask for one that stands before it
     for one in TABLE:
         built = options.get(one.section) if options is not None else None
         if built is not None:
@@ -73,6 +75,13 @@
         """Carries the changed section out, whole; only where `live`."""
         raise NotImplementedError
 
+    def takes(self, built):
+        """Whether `take` can carry this changed section out; None where the file has it no more."""
+        return self.live and built is not None
+
+    def leaving(self):
+        """The notice to leave has come; what is read is still served."""
+
     def answer(self, request):
         """The bytes for a control request that is its own, or None."""
         return None
--- a/valeturn/program/parts/control.py
+++ b/valeturn/program/parts/control.py
@@ -7,7 +7,7 @@
 from . import Part as Base
 
 NO_PART = {requests.Metrics: "no metrics are configured", requests.Hold: "no levels are configured",
-           requests.Free: "no levels are configured"}
+           requests.Free: "no levels are configured", requests.Fleet: "this server is in no fleet"}
 
 
 class Part(Base):
@@ -24,6 +24,10 @@
     def reply(self, request):
         if isinstance(request, requests.Status):
             return requests.good(status=self.server.status())
+        if isinstance(request, requests.Fenced):
+            fleet = self.server.parts.get("fleet")
+            stale = requests.refused("this server is in no fleet") if fleet is None else fleet.answer(request)
+            return stale or self.reply(request.request)
         for part in self.server.parts.values():
             answer = part.answer(request)
             if answer is not None:
--- /dev/null
+++ b/valeturn/program/parts/fleet.py
@@ -0,0 +1,68 @@
+"""A server's part of a fleet: links, who is there, the owner, votes on disk."""
+
+from __future__ import annotations
+
+from ...control import requests
+from ...fleet.running import Fleet
+from ...fleet.votes import Refused
+from ..configuration import Wrong
+from . import Part as Base
+
+FAREWELL = 0.05  # s for the last words to go out, where links are there
+
+
+class Part(Base):
+    def __init__(self, server, built):
+        super().__init__(server, built)
+        c = server.configuration
+        try:
+            self.fleet = Fleet(
+                built, c.name, server.scheduler, server.counters.add, server.log, c.seed, server.seams.fleet
+            )
+        except Refused as refused:
+            raise Wrong(f"fleet: {built.folder}: {refused}") from None
+        except OSError as error:
+            raise Wrong(f"fleet: {built.listen}, {built.folder or 'no folder'}: {error}") from None
+        server.log(
+            "fleet_opened", {"fleet": built.name, "listen": built.listen, "life": self.fleet.vote_life}
+        )
+
+    def start(self):
+        self.fleet.start()
+
+    def status(self):
+        return {"fleet": self.fleet.status()}
+
+    def beliefs(self):
+        return {"fleet_" + name: value for name, value in self.fleet.figures().items()}
+
+    def leaving(self):
+        self.fleet.leave()
+
+    def drained(self):
+        self.fleet.depart()
+        self.server.scheduler.sleep(FAREWELL)
+
+    def close(self, patience):
+        self.fleet.close(patience)
+
+    def answer(self, request):
+        fleet = self.fleet
+        if isinstance(request, requests.Fenced):
+            if fleet.fences.passes("control." + request.name, request.number):
+                return None
+            return requests.refused(
+                f"{request.number} is lower than {fleet.fences.seen['control.' + request.name]}, "
+                "which was seen here: another has taken over"
+            )
+        if not isinstance(request, requests.Fleet):
+            return None
+        why = {
+            "hand-over": lambda: fleet.hand_over(request.server),
+            "leave": fleet.leave_alone,
+            "revive": fleet.revive,
+            "admit": lambda: fleet.change_voters("admit", request.server),
+            "dismiss": lambda: fleet.change_voters("dismiss", request.server),
+        }[request.what]()
+        self.server.counters.add("fleet.asked." + request.what.replace("-", "_"))
+        return requests.good() if why is None else requests.refused(why)
--- a/valeturn/program/parts/store.py
+++ b/valeturn/program/parts/store.py
@@ -5,7 +5,7 @@
 from ...routing.messages import DiskNews
 from ...store import bounds, clock
 from ...store.files import Files
-from ...store.helper import Helper
+from ...transport.helper import Helper
 from ...store.kept import Kept
 from ...store.recovery import Refused
 from ...transport.streams import Stream
@@ -18,7 +18,7 @@
 class Part(Base):
     def __init__(self, server, built):
         super().__init__(server, built)
-        files, names = server.files or Files(built.folder), server.configuration.names
+        files, names = server.seams.files or Files(built.folder), server.configuration.names
         boot_id = clock.boot_id()
         limits = bounds.derive(built.disk, built.memory, built.segment)
         longest = max([w.window for w in names.settings.workloads], default=0.0) + 2 * names.settings.tick
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -23,6 +23,7 @@
 from .bounds import derive
 from .configuration import MOVABLE, Configuration, Wrong
 from .counters import Counters
+from .seams import Seams
 
 GARBAGE = 5000  # objects between looks for cycles, which few things here leave: some hundred KB at the most
 PRINT = 10.0  # s between prints of the counters: a server that is killed outright leaves its last ones
@@ -34,10 +35,10 @@
 
 
 class Server:
-    def __init__(self, configuration, log, verbose=False, reload=None, options=None, files=None):
+    def __init__(self, configuration, log, verbose=False, reload=None, options=None, seams=None):
         """`reload` reads the configuration and the operator's file anew, or raises what is wrong with them;
         it is given what receives from a socket while the loop goes on."""
-        c, self.files = configuration, files
+        c = configuration
         self.configuration = configuration
         self.read_again = reload
         self.log, self.counters = log, Counters()
@@ -47,7 +48,7 @@
         put = lambda message: self.core.put(message)  # noqa: E731
         self.link = ExecutorLink(scheduler, c.executor, chance, put, count)
         sockets = min(c.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        self.options = options
+        self.options, self.seams = options, seams or Seams()
         taken = 0.0 if options is None else LIBRARIES_MB + sum(
             getattr(built, "memory", 0) / 1e6 for built in options.sections.values())
         bounds = self.bounds = derive(sockets, c.memory_mb, taken)
@@ -59,7 +60,8 @@
                          Parties(self.link, self.ledger, self.gateways, self.reporter),
                          Telling(count, self.counters.times, log),
                          getattr(self.parts.get("store"), "kept", None),
-                         getattr(self.parts.get("level"), "reducing", None))
+                         getattr(self.parts.get("level"), "reducing", None),
+                         getattr(self.parts.get("duty"), "sharing", None))
         self.core.trace = log if verbose else None
         self.leave_at = self.stop_at = None
         self.came = scheduler.clock()
@@ -143,6 +145,8 @@
             self.leave_at = self.scheduler.clock()
             self.stop_at = self.leave_at + self.configuration.stop
             self.log("leaving", {"stop_in": self.configuration.stop})
+            for part in self.parts.values():
+                part.leaving()
             self.scheduler.spawn(self.drain, name="drain")
 
     def reload(self):
@@ -171,10 +175,10 @@
         """True where all sections that changed are carried out by their parts; else none is."""
         old, new = [{} if one is None else one.sections for one in (self.options, options)]
         changed = [name for name in {**old, **new} if old.get(name) != new.get(name)]
-        if not all(name in self.parts and new.get(name) and self.parts[name].live for name in changed):
+        if not all(name in self.parts and self.parts[name].takes(new.get(name)) for name in changed):
             return False
         for name in changed:
-            self.parts[name].take(new[name])
+            self.parts[name].take(new.get(name))
         self.options = options
         return True
 
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -47,7 +47,7 @@
 
 class Core:
     def __init__(self, scheduler, names, bounds, pace, make_rules, parties, telling, kept=None,
-                 reducing=None):
+                 reducing=None, sharing=None):
         self.scheduler, self.pace, self.make_rules = scheduler, pace, make_rules
         self.names, self.settings = names, names.settings
         self.link, self.ledger, self.gateways, self.reporter = parties
@@ -60,18 +60,23 @@
         self.good, self.shallow, self.load, self.checks = False, True, None, {}
         self.cold, self.warm_since = False, 0.0
         self.leave, self.events, self.trace, self.reducing = None, [], None, reducing
+        self.sharing = sharing
         self.takes, self.does = self.tables()
 
     def owed(self):
         return sum(not sub.answered for sub in self.open.values())
 
+    def at_calls(self):
+        """Submissions that have a call out, or wait to have one."""
+        return sum(sub.notice is not None for sub in self.open.values())
+
     def beliefs(self):
         """How many submissions are open, owed and running, and how old the gauges are."""
         subs = self.open.values()
         return {"open": len(subs), "owed": self.owed(),
                 "running": sum(sub.run not in UNSENT for sub in subs),
                 "in_doubt": sum(sub.run == DOUBTED for sub in subs),
-                "at_calls": sum(sub.notice is not None for sub in subs),
+                "at_calls": self.at_calls(),
                 "gauges_age_s": self.scheduler.clock() - self.runs.gauged_at, "good": int(self.good)}
 
     # ---- the loop
@@ -99,6 +104,8 @@
         for message in taken:
             self.carry(self.takes, now, message)
         self.meet_wakes(now)
+        if self.sharing is not None:
+            self.events[:0] = self.sharing.events()
         self.decide(now)
         self.repeating.turn_ends()
 
@@ -174,6 +181,7 @@
         rules, self.wakes = self.make_rules(cold, age), []
         self.cold, self.warm_since = cold or self.settings.cold, now - age
         told = [] if self.reducing is None else [self.reducing.event()]
+        told += [] if self.sharing is None else [self.sharing.event()]
         actions = rules.decide(when, told + ([] if notice is None else [notice]))
         self.rules = rules
         for action in actions:
--- /dev/null
+++ b/valeturn/routing/sharing.py
@@ -0,0 +1,28 @@
+"""Tells the module how many calls this server may have out, where servers share a cap among them."""
+
+from __future__ import annotations
+
+from .. import interface as it
+
+FADES = (
+    0.7  # of the need seen last that still counts at the next look: a burst is asked for some rounds longer
+)
+
+
+class Sharing:
+    def __init__(self, usable):
+        """usable() -> calls out that this server may have at this moment."""
+        self.usable, self.said, self.seen = usable, None, 0.0
+
+    def event(self):
+        self.said = self.usable()
+        return it.CallsShare(self.said)
+
+    def events(self):
+        """For each turn, so that a server that was stopped uses nothing that is over."""
+        return [] if self.usable() == self.said else [self.event()]
+
+    def need(self, at_calls):
+        """Calls out that this server could use, from those that stand there now."""
+        self.seen = max(float(at_calls), FADES * self.seen)
+        return self.seen
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -229,6 +229,9 @@
     def on_level(self, e):
         self.reduced = e.gives
 
+    def on_calls_share(self, e):
+        self.s = self.s._replace(calls_share=e.share)
+
     def on_leave(self, e):
         self.leave_at, self.stop_at = self.now, self.now + e.left
         self.out.append(it.Health(False, True))
@@ -250,7 +253,8 @@
         self.say_health()
         self.say_idle()
 
-    FOR_SERVER = {it.Arrived: on_arrived, it.Leave: on_leave, it.Woken: on_woken, it.Level: on_level}
+    FOR_SERVER = {it.Arrived: on_arrived, it.Leave: on_leave, it.Woken: on_woken, it.Level: on_level,
+                  it.CallsShare: on_calls_share}
     FOR_ONE = {it.Ended: on_ended, it.Gone: on_gone, it.CallEnded: on_call_ended,
                it.AtCall: lambda self, sub, e: self.step(sub, CALLS)}
 
--- a/valeturn/store/commands.py
+++ b/valeturn/store/commands.py
@@ -8,7 +8,7 @@
 from . import bounds, clock, files as names, records
 from .entry import STATES
 from .files import Files
-from .helper import Inline
+from ..transport.helper import Inline
 from .kept import Kept
 from .opening import open_folder
 from .recovery import Refused
