--- a/valeturn/fleet/running.py
+++ b/valeturn/fleet/running.py
@@ -46,6 +46,7 @@
     to_boot: object = float  # a moment of `clock` by the boot clock
     dial: object = connect
     folder: object = votes.Folder
+    wall: object = time.time  # for the number of a life alone
 
 
 class Vote:
@@ -114,7 +115,7 @@
         self.count, self.log = count, log
         self.clock = seams.clock
         self.helper = self.vote_folder = None
-        life, kept = int(1000 * time.time()), None
+        life, kept = int(1000 * self.seams.wall()), None
         if options.folder is not None:
             self.vote_folder = seams.folder(options.folder)
             self.vote_folder.take()
@@ -136,7 +137,7 @@
         self.owner = Owner(name, self.vote_life, options.lease, chance, now, kept)
         self.founding = None
         if name in options.voters and self.owner.kept.blank and not self.owner.facts.voters:
-            floor = 0 if options.folder is not None else int(time.time()) << bounds.EPOCH
+            floor = 0 if options.folder is not None else int(seams.wall()) << bounds.EPOCH
             self.founding = Founding(name, self.vote_life, floor, options.voters)
         self.vote = Vote(self, self.vote_folder, self.vote_life, self.helper)
         self.duties = duties.Duties(name, self.vote_life, now)
@@ -411,7 +412,7 @@
     def forget(self, now):
         """The fleet was revived without this one: what it has kept is of before, and it votes anew."""
         self.log("fleet_revived_without", {"life": self.vote_life})
-        self.vote_life = self.vote.life = max(int(1000 * time.time()), self.vote_life + 1)
+        self.vote_life = self.vote.life = max(int(1000 * self.seams.wall()), self.vote_life + 1)
         self.owner = Owner(self.name, self.vote_life, self.options.lease, self.chance, now)
         self.duties.life = self.vote_life
 
@@ -654,7 +655,7 @@
             return f"there is an owner: {self.owner.leader}"
         _, facts, _ = self.facts()
         floor = (self.epoch(max([facts.fence, *self.fences.seen.values()])) + 1) << bounds.EPOCH
-        self.vote_life = self.vote.life = max(int(1000 * time.time()), self.vote_life + 1)
+        self.vote_life = self.vote.life = max(int(1000 * self.seams.wall()), self.vote_life + 1)
         self.duties.life = self.vote_life
         self.founding = None
         self.owner = Owner(
--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -39,10 +39,15 @@
             sys.stdout,
         )
     if given["owner"]:
-        from .ownervirtual import main as owner
-
         first = number(given, "--seed")
         seeds = range(first, first + max(1, number(given, "--seeds")))
+        if not given["--virtual"]:
+            from .fabric.storm import main as storm
+
+            servers, faults = number(given, "--servers"), number(given, "--faults")
+            return storm(servers, faults, seeds, sys.stdout, not given["--no-fences"], given["--keep"])
+        from .ownervirtual import main as owner
+
         return owner(number(given, "--servers"), number(given, "--faults"), seeds, sys.stdout)
     if given["members"]:
         from .fleetvirtual import measure
