--- a/valeturn/fleet/duties.py
+++ b/valeturn/fleet/duties.py
@@ -175,8 +175,10 @@
         self._run(now, duty, LET_GO)
 
     def do_drop(self, now, duty):
+        """Given back once its command is gone."""
         self.do_let_go(now, duty)
-        self.out.append(Propose(("drop", duty.name)))
+        if duty.run not in (RUNNING, STOPPING):
+            self.out.append(Propose(("drop", duty.name)))
 
     def _run(self, now, duty, given):
         found = RUN_TABLE.get((duty.run, given))
@@ -197,6 +199,8 @@
         duty.due = max(now, duty.started + o.every) if o.every is not None else now + RETRY
         if good and o.every is None and not duty.removed and duty.state == HELD:
             duty.run = DONE
+        if duty.removed and self.term is not None:
+            self.out.append(Propose(("drop", duty.name)))
         self.out.append(Told("duty_ran", {"duty": duty.name, **duty.last}))
 
     def do_rest(self, now, duty):
--- a/valeturn/fleet/owner.py
+++ b/valeturn/fleet/owner.py
@@ -136,7 +136,7 @@
         self.commit = self.applied = kept.base
         self.role, self.leader = FOLLOWER, None
         # A voter that has just started may have answered a leader right before: it waits as if it had.
-        self.promised_until = now + self._promise()
+        self.promised_until = now + self.promise()
         self.backers, self.round, self.rounds = set(), 0, {}  # rounds: number -> [sent at, who answered]
         self.lease_until, self.out_at, self.beat_at = -1.0, now, now
         self.handing = False  # it has handed over: it never acts in this term again
@@ -282,13 +282,15 @@
         if good:
             self._take(index, entries)
             self._commit(min(commit, index + len(entries)))
-        self.promised_until = now + self._promise()
+        self.promised_until = now + self.promise()
         self._answer(sender, number, good, index + len(entries) if good else min(index, self.last()[0]))
 
     def _answer(self, sender, number, good, index):
-        """Who is blank says so: it counts in no majority, as it may have given its word and forgotten it."""
+        """By this life: what an earlier one that forgot has answered counts for nothing, and what this one
+        answers counts once the leader has it in its log. Its earlier life was dismissed by a committed fact
+        then, so that no majority counts both."""
         self.out.append(Send(sender, "appended", [
-            self.kept.term, number, good, index, self.life, not self.may_vote()]))
+            self.kept.term, number, good, index, self.life]))
 
     def on_snapshot(self, now, sender, term, number, base, base_term, facts):
         if term < self.kept.term:
@@ -305,16 +307,16 @@
             self.facts, self.commit, self.applied = facts, base, base
             self.out.append(Told(base, ("snapshot",), facts))
             self._admitted()
-        self.promised_until = now + self._promise()
+        self.promised_until = now + self.promise()
         self._answer(sender, number, True, base)
 
-    def on_appended(self, now, sender, term, number, good, index, life, blank):
+    def on_appended(self, now, sender, term, number, good, index, life):
         if term > self.kept.term:
             self._step(now, HIGHER, term=term)
             return
         if self.role != LEADER or term != self.kept.term:
             return
-        counts = blank is False and (sender, life) in self._voters()
+        counts = (sender, life) in self._voters()
         if good is True:
             self.next[sender] = max(self.next.get(sender, 1), index + 1)
             if counts:
@@ -472,11 +474,11 @@
 
     # ---- time and effects
 
-    def _promise(self):
+    def promise(self):
         return self.lease * (1 + DRIFT)
 
     def _wait(self, now):
-        self.stand_at = now + self._promise() + APART * self.lease * self.chance.share()
+        self.stand_at = now + self.promise() + APART * self.lease * self.chance.share()
 
     def _taken(self):
         """What is to be kept comes first: no send may go out before it is durable."""
--- a/valeturn/fleet/running.py
+++ b/valeturn/fleet/running.py
@@ -152,6 +152,7 @@
         self.told_at, self.ask_at = -1e9, 0.0
         self.told_role, self.silenced, self.unowned_since = None, None, now
         self.elections, self.closed, self.leaving = 0, False, False
+        self.handing = None  # to whom it hands over, "" to any, while its commands end
         self.founded_set, self.asked_in = None, set()  # as told to the others; names that an operator admits
         self.links = Links(
             scheduler, options.name, options.listen, self.who, self.hear, chance, count, seams.dial
@@ -187,6 +188,9 @@
             self.carry(self.owner.tick(now))
         term = self.owner.kept.term if self.leads(now) else None
         self.say_role(now, term)
+        if self.handing is not None:
+            self.go_on_handing_over(now, term)
+            term = None
         if now - self.told_at >= TELL * self.options.lease:
             self.told_at = now
             self.tell(now, term)
@@ -208,8 +212,8 @@
                 self.log("fleet_owner_no_more", {"term": self.told_role[1], "role": ROLES[role]})
                 self.unowned_since = now
             self.told_role = role, term
-        if term is None and self.owner.leader not in (None, self.name):
-            self.unowned_since = now
+        if self.owner.leader not in (None, self.name):  # when its last round was heard
+            self.unowned_since = max(self.unowned_since, self.owner.promised_until - self.owner.promise())
 
     def leads(self, now):
         return not self.silenced and self.vote.failed_at is None and self.owner.leads(now)
@@ -592,28 +596,37 @@
     # ---- what operators ask
 
     def hand_over(self, to=None):
-        """To one that has all that is committed. None, or why not."""
-        now = self.clock()
-        if not self.leads(now):
+        """To one that has all that is committed, once its commands are gone. None, or why not."""
+        if not self.leads(self.clock()):
             return f"{self.name} is not the owner; {self.facts()[2] or 'nobody'} is"
-        alive = set(self.membership.alive())
-        fit = [
-            name
-            for name, at in self.owner.matched()
-            if name != self.name and name in alive and at == self.owner.last()[0]
-        ]
-        if to is not None:
-            fit = [name for name in fit if name == to]
+        fit = self.successors()
+        if to is not None and to not in fit:
+            return f"{to} has not all that is committed"
         if not fit:
-            return (
-                "no other voter has all that is committed"
-                if to is None
-                else f"{to} has not all that is committed"
-            )
+            return "no other voter has all that is committed"
+        now = self.clock()
+        self.handing = to or ""
         self.carry_duties(self.duties.tick(now, None))
-        self.carry(self.owner.hand_over(now, fit[int(self.chance.share() * len(fit))]))
+        self.go_on_handing_over(now, self.owner.kept.term)
         return None
 
+    def go_on_handing_over(self, now, term):
+        """Once all that its duties started is gone; the lease goes on until then. To another where the one
+        named is fit no more."""
+        if term is None:
+            self.handing = None
+        elif not self.commands:
+            fit = self.successors()
+            if fit:
+                to = self.handing if self.handing in fit else fit[int(self.chance.share() * len(fit))]
+                self.carry(self.owner.hand_over(now, to))
+                self.handing = None
+
+    def successors(self):
+        """Voters that are there and have all that is in this one's log."""
+        alive, last = set(self.membership.alive()), self.owner.last()[0]
+        return [name for name, at in self.owner.matched() if name in alive - {self.name} and at == last]
+
     def change_voters(self, what, name):
         """One at a time. None, or why not."""
         now, voters = self.clock(), dict(self.owner.facts.voters)
--- a/valeturn/lab/fabric/relays.py
+++ b/valeturn/lab/fabric/relays.py
@@ -1,4 +1,4 @@
-"""Relays between servers: each way of each pair can be held, delayed, trickled, spoilt; connections can be broken.
+"""Relays between servers: each way of each pair can be held, delayed, trickled, spoilt; links can be broken.
 
 A cut holds what comes, as a network would that loses it and a sender that sends it again: what was held goes
 out at once when the cut ends, late as it is, or the connections are broken then.
