--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -49,6 +49,11 @@
         from .ownervirtual import main as owner
 
         return owner(number(given, "--servers"), number(given, "--faults"), seeds, sys.stdout)
+    if given["shares"]:
+        from .shares import main as shares
+
+        first = number(given, "--seed")
+        return shares(number(given, "--servers"), range(first, first + max(1, number(given, "--seeds"))), sys.stdout)
     if given["members"]:
         from .fleetvirtual import measure
 
--- a/valeturn/lab/explore.py
+++ b/valeturn/lab/explore.py
@@ -5,6 +5,9 @@
 an owner that is stopped is one that does not tick. States are kept by a hash of what each voter holds, with
 all times relative to now, and what is on its way; the voters are alike at the start, so that only the first
 of them may stand first. What is found is the shortest way there, as a story that can be played again.
+
+What a duty touches is there too: an owner that holds the duty may have an effect, which then flies as any
+message does, past its owner's end; the sink compares its fence.
 """
 
 from __future__ import annotations
@@ -38,6 +41,8 @@
     restarts: int = 0
     wipes: int = 0
     proposals: int = 0
+    effects: int = 0
+    readmissions: int = 0
 
 
 class Found(NamedTuple):
@@ -52,7 +57,7 @@
 class World:
     """One state: voters, what they kept, what flies, and what the witness knows."""
 
-    __slots__ = ("disks", "facts", "flying", "leaders", "lives", "now", "owners", "used")
+    __slots__ = ("disks", "facts", "flying", "holders", "leaders", "lives", "now", "owners", "seen", "used")
 
     def clone(self):
         other = World.__new__(World)
@@ -60,6 +65,7 @@
         other.disks, other.lives = dict(self.disks), dict(self.lives)
         other.flying, other.now, other.used = list(self.flying), self.now, dict(self.used)
         other.facts, other.leaders = dict(self.facts), dict(self.leaders)
+        other.seen, other.holders = self.seen, dict(self.holders)
         return other
 
 
@@ -79,10 +85,11 @@
     names = [chr(ord("a") + n) for n in range(count)]
     founders = tuple((name, 1) for name in names)
     world.now, world.flying, world.facts, world.leaders = 0.0, [], {}, {}
+    world.seen, world.holders = 0, {}  # the highest fence at the sink; fence -> who had it
     world.owners = {name: make(name, 1, 1.0, Even(), -9.0, None, founders) for name in names}
     world.disks = {name: owner.kept for name, owner in world.owners.items()}
     world.lives = dict.fromkeys(names, 1)
-    world.used = dict.fromkeys(("steps", "losses", "doubles", "restarts", "wipes", "proposals"), 0)
+    world.used = dict.fromkeys(Bounds._fields[4:], 0)
     return world
 
 
@@ -112,6 +119,10 @@
         elif isinstance(effect, Told) and effect.fact[0] != "snapshot":
             if world.facts.setdefault(effect.index, effect.fact) != effect.fact:
                 return "committed facts stay"
+            if effect.fact[0] == "grant":
+                _, owner, life, fence = effect.facts.duty(effect.fact[1])
+                if world.holders.setdefault(fence, (owner, life, effect.index)) != (owner, life, effect.index):
+                    return "one holder of a fence"
     return None
 
 
@@ -157,14 +168,36 @@
             out.append(("wipe", name, ""))
         if used["proposals"] < bounds.proposals and owner.leads(world.now):
             out.append(("propose", name, ""))
+        if used["effects"] < bounds.effects and fence_of(world, name) is not None:
+            out.append(("effect", name, ""))
+        if used["readmissions"] < bounds.readmissions and owner.leads(world.now):
+            out += [("readmit", name, other) for other, life in world.lives.items()
+                    if life > 1 and (other, life) not in owner._voters()]
     return out
 
 
-COUNTED = {"time": "steps", "lose": "losses", "double": "doubles", "restart": "restarts", "wipe": "wipes",
+def fence_of(world, name):
+    """Under which it would have an effect now: its grant was committed in a term that it leads."""
+    owner = world.owners[name]
+    row = owner.facts.duty("d")
+    if row is None or row[1:3] != (name, world.lives[name]) or not owner.leads(world.now):
+        return None
+    return row[3] if owner.term_of(owner.commit) == owner.kept.term else None
+
+
+class Sink:
+    """What a duty touches: refuses a lower fence than it has seen."""
+
+    @staticmethod
+    def takes(seen, fence):
+        return fence >= seen
+
+
+COUNTED = {"effect": "effects", "readmit": "readmissions", "time": "steps", "lose": "losses", "double": "doubles", "restart": "restarts", "wipe": "wipes",
            "propose": "proposals"}
 
 
-def act(world, action, make=Owner):
+def act(world, action, make=Owner, sink=Sink):
     """The next state, and a broken invariant or None."""
     what, which, _ = action
     world = world.clone()
@@ -175,6 +208,11 @@
         to, sender, kind, fields = world.flying[which]
         if what == "deliver":
             del world.flying[which]
+        if to == "sink":
+            if sink.takes(world.seen, fields[0]) and fields[0] < world.seen:
+                return world, "no effect after a higher fence was seen"
+            world.seen = max(world.seen, fields[0])
+            return world, None
         broken = carry(world, to, world.owners[to].hear(world.now, sender, kind, thaw(fields)))
     elif what == "lose":
         del world.flying[which]
@@ -182,6 +220,12 @@
         world.now = round(world.now + STEP, 3)
     elif what == "tick":
         broken = carry(world, which, world.owners[which].tick(world.now))
+    elif what == "effect":
+        world.flying.append(("sink", which, "effect", (fence_of(world, which),)))
+    elif what == "readmit":
+        owner, other = world.owners[which], action[2]
+        owner.readmit(world.now, other, world.lives[other])
+        broken = carry(world, which, owner._taken())
     elif what == "propose":
         owner = world.owners[which]
         owner.propose(world.now, ("grant", "d", which, world.lives[which]))
@@ -207,20 +251,26 @@
                      rounds,
                      tuple(sorted(o.next.items())), tuple(sorted(o.match.items())), world.disks[name]))
     return hash((tuple(rows), tuple(sorted(world.flying, key=repr)), tuple(sorted(world.used.items())),
-                 tuple(sorted(world.leaders.items()))))
+                 tuple(sorted(world.leaders.items())), world.seen, tuple(sorted(world.holders.items()))))
+
+
+def explore(bounds, make=Owner, count=3, start=None, sink=Sink):
+    """From a world on: the first broken invariant is by a shortest story."""
+    return search(start or begin(make, count), bounds, lambda world: actions(world, bounds),
+                  lambda world, action: act(world, action, make, sink), key)
 
 
-def explore(bounds, make=Owner, count=3, start=None):
-    """Breadth first: the first broken invariant is by a shortest story."""
-    began, first = time.perf_counter(), start or begin(make, count)
+def search(first, bounds, actions, act, key):
+    """Breadth first, of any world with `flying`."""
+    began = time.perf_counter()
     seen, queue, deepest = {key(first)}, deque([(first, None, 0)]), 0
     while queue:
         world, path, depth = queue.popleft()
         deepest = max(deepest, depth)
         if depth >= bounds.depth:
             continue
-        for action in actions(world, bounds):
-            after, broken = act(world, action, make)
+        for action in actions(world):
+            after, broken = act(world, action)
             trace = (action, path)
             if broken:
                 return Found(len(seen), depth + 1, time.perf_counter() - began, broken, story(trace), False)
@@ -242,7 +292,7 @@
     return tuple(reversed(out))
 
 
-def replay(actions_, make=Owner, count=3, start=None):
+def replay(actions_, make=Owner, count=3, start=None, sink=Sink):
     """Plays a story again; the broken invariant at its end, or None: also where it can't go on so, as the
     message that is to arrive was never sent."""
     world, broken = start or begin(make, count), None
@@ -254,7 +304,9 @@
             if not there:
                 return None
             which = which if which in there else there[0]
-        world, broken = act(world, (what, which, text), make)
+        if what == "effect" and fence_of(world, which) is None:
+            return None
+        world, broken = act(world, (what, which, text), make, sink)
     return broken
 
 
@@ -263,5 +315,6 @@
     words = {"deliver": "arrives: {}", "lose": "is lost: {}", "double": "arrives and flies on: {}",
              "time": "{} passes", "tick": "{0} looks at its clock",
              "restart": "{0} is killed and back with its disk",
-             "wipe": "{0} is killed and back without its disk", "propose": "{0} proposes a grant"}
+             "wipe": "{0} is killed and back without its disk", "propose": "{0} proposes a grant",
+             "effect": "{0} looks at its lease and has an effect", "readmit": "{0} is taken back in"}
     return [words[what].format(which if not text else text) for what, which, text in actions_]
--- a/valeturn/lab/fabric/witness.py
+++ b/valeturn/lab/fabric/witness.py
@@ -1,4 +1,4 @@
-"""Judges a fleet from outside: it is no member, hears effects as they arrive, reads what members noted down."""
+"""Judges a fleet from outside: no member, it hears effects as they arrive and reads what members noted."""
 
 from __future__ import annotations
 
