--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,483 @@
+"""What a fleet's server decides beside membership and owner: shares, duties, founding, fences, links."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+from valeturn.fleet import duties as du
+from valeturn.fleet import fences, founding, guard, links, votes, wire
+from valeturn.fleet import owner as ow
+from valeturn.fleet import shares as fs
+from valeturn.fleet.dutyoptions import DutyOptions
+from valeturn.lab import explore as ex
+from valeturn.lab import shares as sh
+from valeturn.options import schema
+from valeturn.program import parts
+from valeturn.transport.chance import Chance
+from valeturn.transport.scheduler import Scheduler
+
+ROOT = pathlib.Path(__file__).parent.parent
+SHAPES = [module.SHAPE for module in parts.options_modules().values()]
+GOOD = """[fleet]
+name = lab
+listen = 127.0.0.1:7700
+seeds = 127.0.0.1:7701
+voters = n1, n2, n3
+lease = 1 s
+"""
+
+
+# ---- shares
+
+
+class CountsFromReceipt(fs.Holder):
+    def granted(self, now, grant):
+        good = super().granted(now, grant)
+        if good and self.source == fs.MORE:
+            self.until = now + grant.lasts
+        return good
+
+
+class StartsSure(fs.Holder):
+    def __init__(self, now, sure, lasts):
+        super().__init__(now, sure, lasts)
+        self.source, self.amount, self.until = fs.SURE, sure, float("inf")
+
+
+class ShortPromise(fs.Holder):
+    def granted(self, now, grant):
+        good = super().granted(now, grant)
+        if good and self.source == fs.LESS:
+            self.until = now + grant.lasts / 2
+        return good
+
+
+class LendsAtOnce(fs.Splitter):
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.more_from = -1e9
+
+
+class CountsUnsaid(fs.Splitter):
+    """Counts on less once it was sent."""
+
+    def asked(self, now, name, *said):
+        grant = super().asked(now, name, *said)
+        if grant is not None and grant.amount < self.sure:
+            place = self.places[name]
+            place.held, place.until = grant.amount, now + 2 * self.lasts
+            place.sent = [row for row in place.sent if row[0] != grant.number]
+        return grant
+
+
+class TakesOlder(fs.Holder):
+    """Takes what was overtaken on its way."""
+
+    def granted(self, now, grant):
+        self.number = -1
+        return super().granted(now, grant)
+
+
+@pytest.mark.parametrize("servers", [2, 3, 7])
+def test_the_sum_of_shares_is_never_over_the_cap_and_much_is_lent(servers):
+    for seed in range(4):
+        play = sh.Play(seed, servers)
+        play.run(200.0)
+        assert play.lent > 30
+
+
+@pytest.mark.parametrize("holder, splitter", [
+    (CountsFromReceipt, fs.Splitter), (StartsSure, fs.Splitter), (ShortPromise, fs.Splitter),
+    (TakesOlder, fs.Splitter), (fs.Holder, LendsAtOnce), (fs.Holder, CountsUnsaid)])
+def test_a_planted_fault_of_shares_is_found_by_chance(holder, splitter):
+    for seed in range(12):
+        try:
+            sh.Play(seed, 4, holder=holder, splitter=splitter).run(300.0)
+        except sh.Over:
+            return
+    raise AssertionError("not found")
+
+
+@pytest.mark.parametrize("holder, splitter, bounds", [
+    (CountsFromReceipt, fs.Splitter, sh.Bounds(30_000, asks=3, steps=4)),
+    (StartsSure, fs.Splitter, sh.Bounds(30_000, restarts=1)),
+    (ShortPromise, fs.Splitter, sh.Bounds(30_000)),
+    (fs.Holder, LendsAtOnce, sh.Bounds(30_000, asks=3, steps=4))])
+def test_a_planted_fault_of_shares_is_found_by_a_shortest_story(holder, splitter, bounds):
+    found = sh.explore(bounds, holder, splitter, sh.lent)
+    assert found.broken == "the sum of shares is under the cap" and len(sh.tell(found.story)) <= 8
+    good = sh.explore(bounds._replace(states=8_000), start=sh.lent)
+    assert good.broken is None and good.states >= 8_000
+
+
+def test_small_bounds_of_shares_are_seen_whole():
+    found = sh.explore(sh.Bounds(asks=1, steps=2, owners=1, flying=2), start=sh.lent)
+    assert found.whole and found.broken is None and found.states > 150
+
+
+def test_who_needs_more_gets_what_the_others_don_t_and_all_is_back_once_nobody_says_more():
+    holders = [fs.Holder(-100.0, 10.0, 2.0) for _ in range(3)]
+    splitter, now = fs.Splitter(-100.0, 1, 30.0, 3, 2.0), 0.0
+    for step in range(12):
+        now = 0.5 * step
+        for number, need in enumerate((1.0, 1.0, 30.0)):
+            grant = splitter.asked(now, str(number), *holders[number].ask(now, need))
+            holders[number].granted(now, grant)
+    assert [round(one.usable(now), 1) for one in holders][2] > 20
+    assert sum(one.usable(now) for one in holders) <= 30 + 1e-9
+    assert all(one.usable(now + 10) == 10.0 for one in holders)
+    assert splitter.asked(now, "one too many", 1.0, now, (0, 0)) is None
+
+
+# ---- duties
+
+
+def plain(script):
+    """A duty's command by a plain reading: whether one may run, after each step of a script."""
+    out, holds, removed = [], False, False
+    for what in script:
+        if what == "lead":
+            holds = False  # another term: its grant is still to come
+        elif what == "grant":
+            holds = not removed
+        elif what == "lose":
+            holds = False
+        elif what == "remove":
+            holds, removed = False, True
+        out.append(holds)
+    return out
+
+
+def test_duties_and_their_plain_reading_agree():
+    for seed in range(300):
+        chance, options = Chance(seed * 31 + 7), DutyOptions("run", "x", None, 60.0, 0.1, "number", None, 0.5)
+        duties, now, term, leading = du.Duties("a", 1, 0.0), 0.0, 0, None
+        script, seen, running = [], [], set()
+        duties.put(0.0, {"d": options})
+        for _ in range(14):
+            now += 0.1
+            what = ("lead", "grant", "lose", "remove")[int(3.2 * chance.share())]
+            if what == "grant" and leading is None:
+                continue
+            script.append(what)
+            out = []
+            if what == "lead":
+                term += 1
+                leading = term
+                out += duties.tick(now, leading)
+            elif what == "grant":
+                out += duties.granted(now, leading, "d", term)
+            elif what == "lose":
+                leading = None
+            else:
+                out += duties.put(now, {})
+            out += duties.tick(now, leading)
+            while out:  # a command that is told to stop does so at once
+                effect = out.pop(0)
+                if isinstance(effect, du.Start):
+                    assert not running and effect.fence == term
+                    running.add(effect.fence)
+                elif isinstance(effect, du.Stop):
+                    running.clear()
+                    out += duties.ended(now, "d", {"code": -15, "why": "told", "tail": ""})
+            out = duties.tick(now + 0.01, leading)
+            now += 6.0  # past a retry: what may run does
+            for effect in [*out, *duties.tick(now, leading)]:
+                if isinstance(effect, du.Start):
+                    running.add(effect.fence)
+            seen.append(bool(running))
+        assert seen == plain(script), (seed, script, seen, plain(script))
+
+
+def test_a_grant_of_an_earlier_term_holds_nothing():
+    duties = du.Duties("a", 1, 0.0)
+    duties.put(0.0, {"d": DutyOptions("run", "x", None, 60.0, 0.1, "number", None, 0.5)})
+    asked = duties.tick(1.0, 3)
+    assert asked == [du.Propose(("grant", "d", "a", 1))]
+    assert duties.granted(1.1, 2, "d", 5) == [] and not duties.duties["d"].holds(3)
+    duties.granted(1.2, 3, "d", 6)
+    assert duties.duties["d"].holds(3) and not duties.duties["d"].holds(4)
+    starts = [one for one in duties.tick(1.3, 3) if isinstance(one, du.Start)]
+    assert [one.fence for one in starts] == [6]
+    assert du.Stop("d") in duties.tick(1.4, 4), "its command was under an older number"
+
+
+# ---- founding
+
+
+def test_a_fleet_is_founded_by_all_or_by_nobody_and_by_one_set():
+    founded = 0
+    for seed in range(400):
+        chance, names = Chance(seed * 977 + 3), ["a", "b", "c"]
+        for _ in range(4):
+            chance.share()
+        lives = dict.fromkeys(names, 1)
+        there = {name: founding.Founding(name, 1, 0, names) for name in names}
+        sets = set()
+        for _ in range(60):
+            name = names[int(3 * chance.share())]
+            if chance.share() < 0.04 and there[name].founded is None:  # who has founded remembers it
+                lives[name] += 1
+                there[name] = founding.Founding(name, lives[name], 0, names)
+            word = there[name].word()
+            other = names[int(3 * chance.share())]
+            if other != name and chance.share() < 0.7:
+                there[other].hear(name, *word)
+            sets |= {json.dumps(one.founded) for one in there.values() if one.founded is not None}
+        assert len(sets) <= 1, (seed, sets)
+        founded += all(one.founded for one in there.values())
+    assert founded > 100
+    alone = founding.Founding("a", 1, 0, ["a"])
+    assert alone.alone() == [["a", 1, 0]]
+
+
+def test_words_that_can_t_be_read_found_nothing():
+    one = founding.Founding("a", 1, 0, ["a", "b"])
+    for row, would in ((None, None), (["b", "x", 0], None), (["c", 1, 0], None), (["b", 1, 0], [["b"]]),
+                       (["b", 1, 0], [["b", 1, 0], ["a", 1, 0]])):
+        assert one.hear("b", row, would, True) is None
+    assert one.hear("z", ["z", 1, 0], None, False) is None and "z" not in one.heard
+
+
+# ---- the explorer: fences
+
+
+class TakesAll(ex.Sink):
+    @staticmethod
+    def takes(seen, fence):
+        return True
+
+
+def overtaken(make=ow.Owner):
+    """a had an effect that flies still; b leads now and holds the duty."""
+    world = ex.led(make)
+
+    def settle(world, but=()):
+        for _ in range(60):
+            ready = [n for n, m in enumerate(world.flying) if m[0] != "sink" and not {m[0], m[1]} & set(but)]
+            if not ready:
+                break
+            world, broken = ex.act(world, ("deliver", ready[0], ""), make)
+            assert broken is None
+        return world
+
+    for action in (("propose", "a", ""), ("time", 0, "")):
+        world = settle(ex.act(world, action, make)[0])
+        world = settle(ex.act(world, ("tick", "a", ""), make)[0])
+    world, _ = ex.act(world, ("effect", "a", ""), make)
+    for _ in range(4):
+        world, _ = ex.act(world, ("time", 0, ""), make)
+    for _ in range(6):
+        world = settle(ex.act(world, ("tick", "b", ""), make)[0], but="a")
+    world = settle(ex.act(world, ("propose", "b", ""), make)[0], but="a")
+    world.used = dict.fromkeys(world.used, 0)
+    assert ex.fence_of(world, "b") is not None and any(m[0] == "sink" for m in world.flying)
+    return world
+
+
+def test_an_effect_that_was_overtaken_is_refused_and_a_sink_that_takes_all_is_found():
+    bounds = ex.Bounds(states=3_000, flying=12, term=2, effects=1, steps=1)
+    found = ex.explore(bounds, start=overtaken(), sink=TakesAll)
+    assert found.broken == "no effect after a higher fence was seen", found
+    assert ex.replay(found.story, start=overtaken(), sink=TakesAll) == found.broken
+    assert ex.replay(found.story, start=overtaken()) is None
+    assert ex.explore(bounds, start=overtaken()).broken is None
+
+
+def test_numbers_that_do_not_rise_are_found(monkeypatch):
+    plain_apply = ow.Facts.apply
+    monkeypatch.setattr(ow.Facts, "apply", lambda facts, fact: plain_apply(
+        facts._replace(fence=0) if fact[0] == "grant" else facts, fact))
+    with pytest.raises(AssertionError):
+        overtaken()  # b is granted what a had
+    world, broken = ex.led(), None
+    for _ in range(2):
+        world, broken = ex.act(world, ("propose", "a", ""))
+        while world.flying and not broken:
+            world, broken = ex.act(world, ("deliver", 0, ""))
+    assert broken == "one holder of a fence"
+
+
+# ---- fences, votes
+
+
+def test_a_file_is_replaced_under_numbers_that_only_rise(tmp_path):
+    file = tmp_path / "f"
+    fences.replace(str(file), b"one", 5)
+    fences.replace(str(file), b"two", 5)
+    with pytest.raises(fences.Stale):
+        fences.replace(str(file), b"late", 4)
+    assert file.read_bytes() == b"two"
+
+    def command(fence, **environment):
+        return subprocess.run(
+            [sys.executable, "-m", "valeturn", "fleet", "fenced-replace", str(file), *fence], input=b"three",
+            cwd=ROOT, env={**os.environ, **environment}, capture_output=True)
+
+    assert command(["--fence", "4"]).returncode == 3 and file.read_bytes() == b"two"
+    assert command([], VALETURN_FENCE="6").returncode == 0 and file.read_bytes() == b"three"
+    assert command(["--fence", "six"]).returncode == 2
+    seen = fences.Fences(2)
+    assert seen.passes("a", 3) and not seen.passes("a", 2) and seen.passes("b", 1) and not seen.passes("c", 9)
+
+
+def test_a_vote_is_read_back_and_refused_where_it_is_another_s_or_damaged(tmp_path):
+    facts = ow.Facts((("n1", 5),), (("d", "n1", 5, 7),), 7)
+    kept = ow.Kept(3, "n1", 2, 1, facts, (ow.Entry(3, ("begin",)),), False)
+    data = votes.encode("lab", "n1", "127.0.0.1:1", 5, kept)
+    assert votes.decode(data, "lab", "n1", "127.0.0.1:1") == (5, kept)
+    for fleet, name, address in (("other", "n1", "127.0.0.1:1"), ("lab", "n2", "127.0.0.1:1"),
+                                 ("lab", "n1", "127.0.0.1:2")):
+        with pytest.raises(votes.Refused, match="belongs to"):
+            votes.decode(data, fleet, name, address)
+    for at in range(len(data)):
+        with pytest.raises(votes.Refused):
+            votes.decode(data[:at] + bytes((data[at] ^ 1,)) + data[at + 1:], "lab", "n1", "127.0.0.1:1")
+    folder, other = votes.Folder(tmp_path / "v"), votes.Folder(tmp_path / "v")
+    folder.take()
+    with pytest.raises(votes.Refused, match="another process"):
+        other.take()
+    assert folder.read() is None
+    folder.write(data)
+    assert folder.read() == data
+    folder.release()
+    other.take()
+    other.release()
+
+
+# ---- the operator's file
+
+
+@pytest.mark.parametrize("text, rule, line", [
+    (GOOD.replace("n1, n2, n3", "n1, n2"), "even-voters", 5),
+    (GOOD.replace("n1, n2, n3", "n1, n2, n1"), "doubled-name", 5),
+    (GOOD.replace("1 s", "5 s"), "lease-past-suspicion", 6),
+    (GOOD.replace("seeds = 127.0.0.1:7701", "seeds = 127.0.0.1:7700"), "only-itself", 4),
+    (GOOD.replace("127.0.0.1:7701", "peer.example:7701"), "unreadable-value", 4),
+    (GOOD + "largest = 2\n", "too-small", 7),
+    (GOOD + "[duty x]\ndo = run\nfenced = number\n", "missing-key", 8),
+    (GOOD + "[duty x]\ndo = run\ncommand = true\n", "unfenced", 7),
+    (GOOD + "[duty x]\ndo = share-calls\ncap = 5\nevery = 1 s\n", "no-use", 10),
+    (GOOD + "[duty x]\ndo = run\ncommand = true\nfenced = clock\nevery = 1 s\nmost = 2 s\n",
+     "over-every", 12),
+])
+def test_what_is_wrong_with_a_fleet_is_told_by_line_and_rule(text, rule, line):
+    options, faults = schema.check(text, "v.ini", SHAPES)
+    assert options is None and [(one.rule, one.line) for one in faults] == [(rule, line)], faults
+
+
+def test_what_shows_only_beside_a_deployment_and_other_sections(tmp_path):
+    file = tmp_path / "v.ini"
+
+    def rules(text):
+        file.write_text(text)
+        words = [sys.executable, "-m", "valeturn", "check", "examples/config.json", "--settings", str(file)]
+        done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True)
+        return [line.split(": ")[2] for line in done.stderr.splitlines()]
+
+    duty = "[duty x]\ndo = run\ncommand = true\nfenced = clock\npatience = 900 ms\n"
+    assert rules(GOOD) == []
+    assert rules(GOOD.replace("127.0.0.1:7700", "127.0.0.1:4100")) == ["gateways-address"]
+    assert rules(GOOD + duty) == ["patience-past-lease"]
+    assert rules(duty) == ["no-fleet"]
+    two = "[duty {}]\ndo = share-calls\ncap = 5\n"
+    assert rules(GOOD + two.format("a") + two.format("b")) == ["doubled-duty"]
+
+
+# ---- a command's guard
+
+
+def run_guard(command, lines, patience="0.2", wait=5.0):
+    process = subprocess.Popen([sys.executable, "-I", "-S", guard.__file__, patience, command],
+                               stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    for line in lines:
+        process.stdin.write(line)
+        process.stdin.flush()
+        time.sleep(0.25)  # the shell has set its trap by then
+    said = json.loads(process.stdout.readline())
+    process.stdin.close()
+    process.wait(wait)
+    return said
+
+
+def until(seconds):
+    return b"until %.6f\n" % (time.clock_gettime(time.CLOCK_BOOTTIME) + seconds)
+
+
+def test_a_guard_tells_how_a_command_ended_and_ends_it_with_its_lease(tmp_path):
+    said = run_guard("echo done; exit 3", [until(5)])
+    assert said == {"code": 3, "why": "ended", "tail": "done\n"}
+    began = time.monotonic()
+    said = run_guard("trap '' TERM; while :; do sleep 0.05; done", [until(0.8)])
+    assert said["why"] == "lease over" and said["code"] == -signal.SIGKILL and time.monotonic() - began < 1.2
+    said = run_guard("trap 'echo bye; exit 0' TERM; while :; do sleep 0.02; done", [until(9), b"stop\n"])
+    assert said["why"] == "told to stop" and said["code"] == 0 and said["tail"] == "bye\n"
+
+
+def test_what_a_command_left_behind_in_a_session_of_its_own_ends_too(tmp_path):
+    mark = tmp_path / "mark"
+    said = run_guard(f"setsid sh -c 'while :; do date > {mark}; sleep 0.05; done' & sleep 0.3", [until(9)])
+    assert said["code"] == 0 and mark.exists()
+    mark.unlink()
+    time.sleep(0.3)
+    assert not mark.exists()
+
+
+# ---- links
+
+
+def test_links_refuse_strangers_earlier_lives_and_damage_and_keep_one_a_pair():
+    scheduler, heard, counted = Scheduler(), [], {}
+
+    def count(name, amount=1):
+        counted[name] = counted.get(name, 0) + amount
+
+    def make(name, port):
+        def hear(message, at):
+            heard.append((name, message.sender, message.kind))
+
+        return links.Links(scheduler, "lab", f"127.77.0.1:{port}", lambda: (name, 1), hear, Chance(port),
+                           count)
+
+    a, b = make("a", 4301), make("b", 4302)
+
+    def play():
+        a.send("127.77.0.1:4302", "ping", [])
+        b.send("127.77.0.1:4301", "ping", [])
+        scheduler.sleep(0.2)
+        for _ in range(300):  # more than may wait at once, in one turn: the oldest go
+            a.send("127.77.0.1:4302", "news", ["x" * 9000])
+        scheduler.sleep(0.3)
+        for data in (wire.encode("other", "c", 1, "hello", ["127.77.0.1:9"]), b"\0" * 64,
+                     wire.encode("lab", "c", 1, "ping", []),
+                     wire.encode("lab", "c", 5, "hello", ["127.77.0.1:9"])
+                     + wire.encode("lab", "c", 4, "ping", [])):
+            sock = socket.create_connection(("127.77.0.1", 4302))
+            sock.sendall(data)
+            scheduler.sleep(0.05)
+            sock.close()
+        scheduler.sleep(0.1)
+        a.close_now()
+        b.close_now()
+        scheduler.stop()
+
+    scheduler.spawn(play)
+    scheduler.run()
+    assert ("b", "a", "ping") in heard and ("a", "b", "ping") in heard
+    assert {"fleet.refused.other_fleet", "fleet.refused.damaged", "fleet.refused.no_hello",
+            "fleet.refused.earlier_life"} <= set(counted), counted
+    news = sum(kind == "news" for _, _, kind in heard)
+    assert news + counted.get("fleet.dropped", 0) == 300 and news >= 128
+
+
+def test_nothing_of_a_fleet_is_loaded_without_its_section(tmp_path):
+    code = ("import sys; from valeturn.program import commands, parts, server; "
+            "print([name for name in sys.modules if name.startswith('valeturn.fleet')])")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert done.stdout.strip() == "[]", done.stderr
--- a/valeturn/fleet/dutyoptions.py
+++ b/valeturn/fleet/dutyoptions.py
@@ -34,7 +34,7 @@
     every: (
         float | None
     )  # s from one start to the next; without it a command that ends is done till the next owner
-    most: float  # s that a run may take
+    most: float  # s that a run may take: a minute, or what `every` leaves, where the file does not say
     patience: float  # s from TERM to KILL
     fenced: str  # "number": what it touches compares fences; "clock": only the owner's clock keeps others off
     cap: int | None  # calls out that the dependency takes from all servers together, of `share-calls`
@@ -43,6 +43,8 @@
 
 
 def build(values, where):
+    if values["most"] is None:
+        values = {**values, "most": min(60.0, values["every"] or 60.0)}
     options, faults = DutyOptions(**values, where=where), []
     if options.do == "run" and options.command is None:
         faults.append(where["do"].fault("missing-key", "run wants a command"))
@@ -109,7 +111,7 @@
         "do": Field(One(("run", "share-calls")), REQUIRED),
         "command": Field(Text(), None),
         "every": Field(Quantity("a time", 0.1, 30 * 86400.0), None),
-        "most": Field(Quantity("a time", 0.1, 86400.0), 60.0),
+        "most": Field(Quantity("a time", 0.1, 86400.0), None),
         "patience": Field(Quantity("a time", 0.0, 10.0), 0.5),
         "fenced": Field(One(("number", "clock", "none")), "none"),
         "cap": Field(Whole(1, 1_000_000), None),
--- a/valeturn/fleet/guard.py
+++ b/valeturn/fleet/guard.py
@@ -62,7 +62,7 @@
     libc = ctypes.CDLL(None, use_errno=True)
     libc.prctl(SUBREAPER, 1, 0, 0, 0)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, signal.SIG_IGN)  # the server's word alone ends it
+        signal.signal(number, lambda *_: None)  # the server's word alone ends it; ignoring would be inherited
     output, theirs = os.pipe()
     child = subprocess.Popen(
         ["/bin/sh", "-c", command],
@@ -79,6 +79,7 @@
     poller.register(output, select.POLLIN)
     tail, held, until, told_at = b"", b"", now() + 1.0, now()
     term_at = kill_at = None
+    termed = False
     why, code = "ended", None
     while True:
         for descriptor, _ in poller.poll(1000 * LOOK):
@@ -106,9 +107,8 @@
             kill_at = min(kill_at, max(term_at, until - margin))
         if term_at is not None and moment >= kill_at:
             send(signal.SIGKILL)
-        elif term_at == moment or term_at is not None and why != "killed" and not hasattr(main, "termed"):
-            main.termed = True
-            send(signal.SIGTERM)
+        elif term_at is not None and not termed:
+            termed = send(signal.SIGTERM)
         while True:  # what came to this process when its parent ended is reaped too
             try:
                 process, status = os.waitpid(-1, os.WNOHANG)
--- a/valeturn/fleet/links.py
+++ b/valeturn/fleet/links.py
@@ -179,11 +179,10 @@
             peer = self.peers[at] = Peer(at, self.chance)
         peer.used = self.scheduler.clock()
         if peer.link is not None:
-            # Two were made at once: both ends keep the one that the smaller address made.
+            # Two were made at once: both ends send by the one that the smaller address made, and read the
+            # other until it has been idle for long enough.
             if self.listen < at and peer.link.dialled and peer.link.stream.trouble is None:
-                return "second"
-            before, peer.link = peer.link, None
-            before.stream.close()
+                return None
         self.attach(peer, link)
         return None
 
--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -53,7 +53,8 @@
         from .shares import main as shares
 
         first = number(given, "--seed")
-        return shares(number(given, "--servers"), range(first, first + max(1, number(given, "--seeds"))), sys.stdout)
+        seeds = range(first, first + max(1, number(given, "--seeds")))
+        return shares(number(given, "--servers"), seeds, sys.stdout)
     if given["members"]:
         from .fleetvirtual import measure
 
--- a/valeturn/lab/explore.py
+++ b/valeturn/lab/explore.py
@@ -121,7 +121,8 @@
                 return "committed facts stay"
             if effect.fact[0] == "grant":
                 _, owner, life, fence = effect.facts.duty(effect.fact[1])
-                if world.holders.setdefault(fence, (owner, life, effect.index)) != (owner, life, effect.index):
+                holder = owner, life, effect.index
+                if world.holders.setdefault(fence, holder) != holder:
                     return "one holder of a fence"
     return None
 
@@ -193,8 +194,8 @@
         return fence >= seen
 
 
-COUNTED = {"effect": "effects", "readmit": "readmissions", "time": "steps", "lose": "losses", "double": "doubles", "restart": "restarts", "wipe": "wipes",
-           "propose": "proposals"}
+COUNTED = {"effect": "effects", "readmit": "readmissions", "time": "steps", "lose": "losses",
+           "double": "doubles", "restart": "restarts", "wipe": "wipes", "propose": "proposals"}
 
 
 def act(world, action, make=Owner, sink=Sink):
--- a/valeturn/lab/shares.py
+++ b/valeturn/lab/shares.py
@@ -1,7 +1,7 @@
 """`lab shares`: the split of the calls, by chance over long times and by all orders up to small bounds.
 
-Both drive the real decisions of both sides; the witness adds up what all servers may use, at every moment, those
-that are not there too.
+Both drive the real decisions of both sides; the witness adds up what all servers may use, at every moment,
+those that are not there too.
 """
 
 from __future__ import annotations
@@ -27,8 +27,8 @@
 
 
 class Play(Timeline):
-    """Servers that ask, an owner that changes, messages lost, doubled and late, stops and restarts; clocks that
-    differ by as much as is allowed for."""
+    """Servers that ask, an owner that changes, messages lost, doubled and late, stops and restarts; clocks
+    that differ by as much as is allowed for."""
 
     def __init__(self, seed, servers, spare=1, holder=Holder, splitter=Splitter):
         super().__init__()
@@ -183,7 +183,8 @@
     """The next state, and the broken invariant or None."""
     what, which, _ = action
     after = World()
-    after.now, after.flying, after.fence, after.used = world.now, list(world.flying), world.fence, dict(world.used)
+    after.now, after.flying, after.fence = world.now, list(world.flying), world.fence
+    after.used = dict(world.used)
     after.holders, after.splitter = [copy_of(one) for one in world.holders], copy_of(world.splitter)
     if what in COUNTED:
         after.used[COUNTED[what]] += 1
@@ -249,11 +250,12 @@
             bad += 1
             print(f"seed={seed} over the cap at {over.args[0]:.3f} s: {over.args[1]:.3f}", file=out)
         lent += play.lent
-    print(f"virtual servers={servers} seeds={len(seeds)} minutes={5 * len(seeds)} lent={lent} over_cap={bad}", file=out)
+    print(f"virtual servers={servers} seeds={len(seeds)} minutes={5 * len(seeds)} lent={lent} over_cap={bad}",
+          file=out)
     began = time.perf_counter()
     found = explore(Bounds())
-    print(f"explored states={found.states} depth={found.depth} whole={int(found.whole)} broken={found.broken or 0} "
-          f"seconds={time.perf_counter() - began:.1f}", file=out)
+    print(f"explored states={found.states} depth={found.depth} whole={int(found.whole)} "
+          f"broken={found.broken or 0} seconds={time.perf_counter() - began:.1f}", file=out)
     for line in tell(found.story):
         print("  " + line, file=out)
     return 1 if bad or found.broken else 0
