--- a/valeturn/fleet/running.py
+++ b/valeturn/fleet/running.py
@@ -30,6 +30,7 @@
 TICKS = 12  # a lease
 # of the lease between words of one that remembers nothing, and between facts for those that don't vote
 TELL = 0.5
+ASKED = 3  # others, by chance, that one without a vote tells so while it knows no owner
 DISK_RETRY = 1.0  # s from a write that failed to the next
 GUARD = os.path.join(os.path.dirname(__file__), "guard.py")
 
@@ -47,6 +48,7 @@
     dial: object = connect
     folder: object = votes.Folder
     wall: object = time.time  # for the number of a life alone
+    links: object = Links
 
 
 class Vote:
@@ -154,7 +156,7 @@
         self.elections, self.closed, self.leaving = 0, False, False
         self.handing = None  # to whom it hands over, "" to any, while its commands end
         self.founded_set, self.asked_in = None, set()  # as told to the others; names that an operator admits
-        self.links = Links(
+        self.links = seams.links(
             scheduler, options.name, options.listen, self.who, self.hear, chance, count, seams.dial
         )
 
@@ -347,7 +349,11 @@
                 if self.founding is not None
                 else [[self.name, self.vote_life, 0], None, False]
             )
-            to = self.options.voters if self.founding is not None else self.membership.alive()
+            owner = self.facts()[2]
+            to = self.options.voters if self.founding is not None or owner is None else [owner]
+            if owner is None:  # the founders may long be others than those that vote
+                alive = self.membership.alive()
+                to = {*to, *(alive[int(self.chance.share() * len(alive))] for _ in range(ASKED))}
             for name in to:
                 self.send(name, "blank", word)
         elif self.founded_set is not None and now - self.started_at < 600.0:
--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -4,6 +4,8 @@
 
 import sys
 
+from ..fleet.bounds import VOTERS
+
 
 def number(given, name):
     try:
@@ -41,6 +43,14 @@
     if given["owner"]:
         first = number(given, "--seed")
         seeds = range(first, first + max(1, number(given, "--seeds")))
+        if given["--measure"]:
+            from .fabric.measure import main as measure_fleet
+
+            return measure_fleet(number(given, "--servers"), first, sys.stdout)
+        if given["--virtual"] and number(given, "--servers") > VOTERS:
+            from .fabric.virtual import measure as whole
+
+            return 0 if all([whole(number(given, "--servers"), seed, sys.stdout) for seed in seeds]) else 1
         if not given["--virtual"]:
             from .fabric.storm import main as storm
 
--- a/valeturn/lab/fabric/fleet.py
+++ b/valeturn/lab/fabric/fleet.py
@@ -74,11 +74,12 @@
 
 class Fleet:
     def __init__(self, folder, count, seed, *, duties="", voters=None, folders=True, fenced=True,
-                 largest=None, load=0.0, lease=LEASE):
+                 largest=None, load=0.0, lease=LEASE, fleet=True):
         self.number = next(FLEETS)
         self.folder, self.chance, self.calls, self.fenced = pathlib.Path(folder), Chance(seed), 0, fenced
         for _ in range(8):
             self.chance.share()
+        self.fleet = fleet  # False: the same servers without the section, for comparison
         self.lease, self.duties, self.folders, self.load = lease, duties, folders, load
         self.largest, self.zones = largest or count, ("a", "b", "c")
         self.names = [f"n{number}" for number in range(count)]
@@ -132,6 +133,8 @@
     def settings(self, server, duties=None):
         seeds = ", ".join("%s:%d" % self.servers[name].peers for name in self.names[:3])
         effect = f"{sys.executable} -I -S {EFFECT} 127.0.0.1 {self.at_world[1]}"
+        if not self.fleet:
+            return f"[control]\nsocket = {server.path('socket')}\n"
         return "\n".join([
             "[fleet]", "name = lab", "listen = %s:%d" % server.peers, f"seeds = {seeds}",
             f"voters = {', '.join(self.voters)}", "even = on",
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -22,7 +22,8 @@
                       [--real] [--seconds T]
   valeturn lab fleet-days [--day NAMES] [--servers N] [--gateways G] [--seconds T] [--seed S] [--seeds N]
                           [--against POLICIES]
-  valeturn lab owner [--virtual] [--servers N] [--faults N] [--seed S] [--seeds N] [--no-fences] [--keep DIR]
+  valeturn lab owner [--virtual | --measure] [--servers N] [--faults N] [--seed S] [--seeds N]
+                     [--no-fences] [--keep DIR]
   valeturn lab shares [--servers N] [--seed S] [--seeds N]
   valeturn lab members [--servers N] [--loss S] [--slow S] [--minutes M] [--seed S]
   valeturn version
@@ -69,7 +70,8 @@
   --day NAMES      all, or of calm roll herd zone split join, with commas [default: all].
   --gateways G     Emulated gateways [default: 10].
   --seconds T      Of virtual time; of real time with --real [default: 40].
-  --virtual        In virtual time.
+  --virtual        In virtual time; more than nine servers are whole ones, of which nine vote.
+  --measure        What a fleet costs, and how long it is without an owner.
   --faults N       How many faults [default: 100].
   --loss S         Share of messages between servers that never come [default: 0].
   --slow S         Share of servers that answer late [default: 0].
