--- a/valeturn/levels/decision.py
+++ b/valeturn/levels/decision.py
@@ -8,8 +8,9 @@
 What a level relieves looks well because of the level: its leave condition may hold only while it does. So it
 is left on trial, for the last part of its stay: more and more of the submissions, from the highest rank down,
 are spared what it gives up. Should its own condition begin to hold meanwhile, it holds in full again, never
-having been left, and the stay doubles. Coming back soon after it was left doubles the stay as well; a stay
-that was doubled is halved again for each quiet while, as it was learnt.
+having been left, and the stay doubles. Coming back soon after it was left doubles the stay as well, up to a
+bound that grows with the time for which the level has come and gone; a stay that was doubled is halved again
+for each quiet while, as it was learnt.
 """
 
 from __future__ import annotations
@@ -45,7 +46,10 @@
     (PINNED, LOST): (CALM, "drop"),
 }
 SOON = 60.0  # s after a return in which coming back counts as flapping
-STAY_MOST = 8.0  # times its least stay that a level is kept at the most, after three soon returns
+STAY_MOST = 8.0  # times its least stay that a level is kept, after three soon returns
+# Of the time that it has come and gone, for which it may be kept: returns get rarer the longer that goes on,
+# at any load; half, so that what is over after minutes is not kept for as many more.
+EPISODE = 0.5
 STEPS = 4  # of a trial: a quarter more each time is less than the room in which a crowded dependency holds
 STEP = 0.5  # s: half of the time in which the signals fade; twice that kept levels past their trouble
 CHANGES = 6  # a minute at the most; past it a level is entered but not left
@@ -115,6 +119,7 @@
         self.leaves = {level.name: Holding(level.leave, True) for level in self.levels}
         self.factor = {level.name: 1.0 for level in self.levels}
         self.left = {}  # name -> when it was left last
+        self.episode = {}  # name -> when it was entered first of those times that it came back soon
         self.tried_at = None  # since when the present one is on trial
 
     def level(self):
@@ -179,16 +184,23 @@
 
     def do_up(self, now, target):
         quiet = now - self.left.get(target.name, -1e9)
-        factor = self.factor[target.name]
-        self.factor[target.name] = min(STAY_MOST, 2 * factor) if quiet < SOON else max(
-            1.0, factor * 0.5 ** min(9.0, quiet / SOON))
+        if quiet < SOON:
+            self.lengthen(now, target)
+        else:
+            self.episode[target.name] = now
+            self.factor[target.name] = max(1.0, self.factor[target.name] * 0.5 ** min(9.0, quiet / SOON))
         self.at, self.entered = target.name, now
 
+    def lengthen(self, now, level):
+        """The stay doubles, up to a bound that grows with how long the level has come and gone."""
+        most = max(STAY_MOST, EPISODE * (now - self.episode.get(level.name, now)) / level.stay)
+        self.factor[level.name] = min(most, 2 * self.factor[level.name])
+
     def do_try_out(self, now, target):
         self.tried_at = now
 
     def do_back_in(self, now, target):
-        self.factor[target.name] = min(STAY_MOST, 2 * self.factor[target.name])
+        self.lengthen(now, target)
         self.entered = now
 
     def do_down(self, now, target):
