--- a/valeturn/fleet/running.py
+++ b/valeturn/fleet/running.py
@@ -7,32 +7,26 @@
 
 from __future__ import annotations
 
-import json
-import os
-import subprocess
-import sys
 import time
-from collections import deque
 from typing import NamedTuple
 
 from ..transport.chance import Chance
 from ..transport.helper import Helper
-from ..transport.scheduler import READ
 from ..transport.streams import Stream, connect
-from . import bounds, duties, shares, votes
+from . import bounds, duties, runs, votes
+from .calls import Calls
 from .fences import Fences
 from .founding import Founding
+from .keeping import Keeping
 from .links import Links
 from .membership import ALIVE, LEFT, STATES, SUSPECTED, Membership
-from .owner import Owner, Persist, ROLES, Send
+from .owner import ROLES, Owner, Send
 from .owner import Told as Committed
 
 TICKS = 12  # a lease
 # of the lease between words of one that remembers nothing, and between facts for those that don't vote
 TELL = 0.5
 ASKED = 3  # others, by chance, that one without a vote tells so while it knows no owner
-DISK_RETRY = 1.0  # s from a write that failed to the next
-GUARD = os.path.join(os.path.dirname(__file__), "guard.py")
 
 
 def boot_clock():
@@ -51,64 +45,6 @@
     links: object = Links
 
 
-class Vote:
-    """Keeps what a voter must not forget. Effects behind a Persist wait until it is durable."""
-
-    def __init__(self, fleet, folder, life, helper):
-        self.fleet, self.folder, self.life, self.helper = fleet, folder, life, helper
-        self.waiting, self.writing, self.failed_at = deque(), False, None
-        self.latest = None
-
-    def carry(self, effects):
-        """All that may be done now, in order."""
-        if self.folder is None:
-            return [one for one in effects if not isinstance(one, Persist)]
-        self.waiting.extend(effects)
-        return self.go_on()
-
-    def go_on(self):
-        out = []
-        while self.waiting and not self.writing:
-            one = self.waiting.popleft()
-            if not isinstance(one, Persist):
-                out.append(one)
-                continue
-            # The last of several may stand for all: a message that goes out later than it might is only late.
-            kept = next(
-                (other.kept for other in reversed(self.waiting) if isinstance(other, Persist)), one.kept
-            )
-            self.waiting = deque(other for other in self.waiting if not isinstance(other, Persist))
-            self.latest, self.writing = kept, True
-            f = self.fleet
-            data = votes.encode(f.options.name, f.name, f.options.listen, self.life, kept)
-            self.helper.ask("vote", self.folder.write, data)
-        return out
-
-    def written(self, now, result):
-        """What may go out now. After an error nothing does that waited for it, and this server votes no more
-        until its disk takes what it has to keep."""
-        self.writing = False
-        if isinstance(result, OSError):
-            self.waiting.clear()
-            self.failed_at = now
-            return []
-        self.failed_at = None
-        return self.go_on()
-
-    def retry(self, kept):
-        self.writing, f = True, self.fleet
-        self.helper.ask(
-            "vote", self.folder.write, votes.encode(f.options.name, f.name, f.options.listen, self.life, kept)
-        )
-
-
-class Running:
-    """A command that runs under its guard."""
-
-    def __init__(self, process, out):
-        self.process, self.out, self.text = process, out, b""
-
-
 class Fleet:
     def __init__(self, options, name, scheduler, count, log, seed, seams=None):
         """Raises votes.Refused or OSError where this server can't take part."""
@@ -141,17 +77,15 @@
         if name in options.voters and self.owner.kept.blank and not self.owner.facts.voters:
             floor = 0 if options.folder is not None else int(seams.wall()) << bounds.EPOCH
             self.founding = Founding(name, self.vote_life, floor, options.voters)
-        self.vote = Vote(self, self.vote_folder, self.vote_life, self.helper)
+        self.vote = Keeping(self.vote_folder, self.helper, self.encode_vote)
         self.duties = duties.Duties(name, self.vote_life, now)
         self.fences = Fences()
-        self.shared = None  # name of the duty that shares the calls
-        self.holder = self.splitter = self.need = None
-        self.commands, self.wanted = (
-            {},
-            {},
-        )  # runs under way; name -> life of those to be admitted by an operator
+        self.calls = None  # its share of them, where a duty splits them
+        environment = {"VALETURN_SERVER": name, "VALETURN_FLEET": options.name}
+        self.runs = runs.Runs(scheduler, environment, self.run_ended)
+        self.wanted = {}  # name -> life of those that would vote
         self.heard_facts = None  # what a server that does not vote was told: (term, facts, owner, when)
-        self.told_at, self.ask_at = -1e9, 0.0
+        self.told_at = -1e9
         self.told_role, self.silenced, self.unowned_since = None, None, now
         self.elections, self.closed, self.leaving = 0, False, False
         self.handing = None  # to whom it hands over, "" to any, while its commands end
@@ -163,6 +97,10 @@
     def who(self):
         return self.name, self.membership.me.life
 
+    def encode_vote(self, kept):
+        o = self.options
+        return votes.encode(o.name, self.name, o.listen, self.vote_life, kept)
+
     def start(self):
         if self.helper is not None:
             self.scheduler.spawn(self.hear_the_disk, name="vote")
@@ -184,8 +122,8 @@
         if self.silenced:
             return
         if self.vote.failed_at is not None:
-            if now - self.vote.failed_at >= DISK_RETRY and not self.vote.writing:
-                self.vote.retry(self.owner.kept)
+            if self.vote.wants_retry(now):
+                self.vote.write(self.owner.kept)
         else:
             self.carry(self.owner.tick(now))
         term = self.owner.kept.term if self.leads(now) else None
@@ -199,10 +137,9 @@
         if term is not None:
             self.admit(now)
         self.carry_duties(self.duties.tick(now, term))
-        self.tell_guards(now, term)
-        if self.holder is not None and now >= self.ask_at:
-            self.ask_at = now + self.duty_options().round * (0.8 + 0.4 * self.chance.share())
-            self.ask(now)
+        self.tell_guards()
+        if self.calls is not None:
+            self.calls.tick(now)
 
     def say_role(self, now, term):
         role = self.owner.role
@@ -422,80 +359,23 @@
     def forget(self, now):
         """The fleet was revived without this one: what it has kept is of before, and it votes anew."""
         self.log("fleet_revived_without", {"life": self.vote_life})
-        self.vote_life = self.vote.life = max(int(1000 * self.seams.wall()), self.vote_life + 1)
+        self.vote_life = max(int(1000 * self.seams.wall()), self.vote_life + 1)
         self.owner = Owner(self.name, self.vote_life, self.options.lease, self.chance, now)
         self.duties.life = self.vote_life
 
     # ---- shares of the calls
 
-    def duty_options(self):
-        return self.duties.duties[self.shared].options
-
-    def share_calls(self, name, options, sure_need):
-        """need(): calls out that this server could use now."""
-        self.shared, self.need = name, sure_need
-        self.holder = shares.Holder(
-            self.clock(), options.cap / self.options.largest, self.share_lasts(options)
-        )
+    def share_calls(self, name, options, need):
+        """This server takes part in the split of the calls; need(): calls out that it could use now."""
+        self.calls = Calls(self, name, options, need)
 
-    def share_lasts(self, options):
-        """s of a grant: a few rounds, so that one may be lost, and what an owner's loss takes mostly."""
-        return max(4 * options.round, 2 * self.options.lease)
-
-    def share_now(self):
-        """Calls out that this server may have now, of all."""
-        return self.holder.usable(self.clock())
-
-    def ask(self, now):
-        fields = self.holder.ask(now, self.need())
-        _, facts, owner = self.facts()
-        row = facts.duty(self.shared)
-        owner = row[1] if row is not None else owner
-        if owner == self.name:
-            self.on_need(now, self.name, *fields)
-        elif owner is not None:
-            self.send(owner, "need", fields)
-
-    def on_need(self, now, sender, need, stamp, holding):
-        fence = None if self.shared is None else self.acts(self.shared)
-        if fence is None:
-            self.splitter = None
-            return
-        o = self.duty_options()
-        if self.splitter is None or self.splitter.fence != fence:
-            self.splitter = shares.Splitter(now, fence, o.cap, self.options.largest, self.share_lasts(o))
-        grant = self.splitter.asked(
-            now, sender, float(need), float(stamp), (int(holding[0]), int(holding[1]))
-        )
-        if grant is None or self.acts(self.shared) != fence:
-            return
-        if sender == self.name:
-            self.on_share(now, sender, list(grant))
-        else:
-            self.send(sender, "share", [list(grant)])
+    def on_need(self, now, sender, *fields):
+        if self.calls is not None:
+            self.calls.on_need(now, sender, *fields)
 
     def on_share(self, now, sender, said):
-        grant = shares.Grant(int(said[0]), int(said[1]), float(said[2]), float(said[3]), float(said[4]))
-        if self.holder is None:
-            return
-        stale = self.holder.stale
-        before = self.holder.usable(now)
-        if self.holder.granted(now, grant):
-            self.fences.passes(self.shared, grant.fence)
-            self.count("fleet.shares.taken")
-            if self.holder.amount != before:
-                self.log(
-                    "fleet_share",
-                    {
-                        "calls": self.holder.amount,
-                        "until": self.holder.until,
-                        "now": now,
-                        "from": shares.SOURCES[self.holder.source],
-                        "fence": grant.fence,
-                    },
-                )
-        elif self.holder.stale > stale:
-            self.count("fleet.shares.stale")
+        if self.calls is not None:
+            self.calls.on_share(now, sender, said)
 
     KINDS = {"blank": on_blank, "facts": on_facts, "need": on_need, "share": on_share}
 
@@ -514,90 +394,25 @@
             elif isinstance(effect, duties.Start):
                 self.start_command(now, effect)
             elif isinstance(effect, duties.Stop):
-                self.tell_guard(effect.name, b"stop\n")
+                self.runs.stop(effect.name)
             else:
                 self.log(effect.event, effect.fields)
 
     def start_command(self, now, start):
         """At the last look at the lease: what is started has its fence in its environment."""
-        if self.acts(start.name) != start.fence:
-            self.carry_duties(
-                self.duties.ended(now, start.name, {"code": None, "why": "lease over", "tail": ""})
-            )
-            return
-        environment = {
-            **os.environ,
-            "VALETURN_FENCE": str(start.fence),
-            "VALETURN_DUTY": start.name,
-            "VALETURN_SERVER": self.name,
-            "VALETURN_FLEET": self.options.name,
-        }
-        try:
-            process = subprocess.Popen(
-                [sys.executable, "-I", "-S", GUARD, str(start.patience), start.command],
-                env=environment,
-                stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE,
-                stderr=subprocess.DEVNULL,
-                close_fds=True,
-            )
-        except OSError as error:
-            self.carry_duties(
-                self.duties.ended(now, start.name, {"code": None, "why": str(error), "tail": ""})
-            )
-            return
-        os.set_blocking(process.stdin.fileno(), False)
-        os.set_blocking(process.stdout.fileno(), False)
-        self.commands[start.name] = running = Running(process, process.stdout)
-        self.tell_guards(now, self.owner.kept.term)
-        self.scheduler.spawn(self.follow, start.name, running, name="duty")
-
-    def follow(self, name, running):
-        """Until its guard has ended: by then the command and all that it started are gone."""
-        descriptor = running.out.fileno()
-        while True:
-            self.scheduler.wait_fd(descriptor, READ)
-            try:
-                data = os.read(descriptor, 65536)
-            except BlockingIOError:
-                continue
-            if not data:
-                break
-            running.text = (running.text + data)[-4 * bounds.TAIL :]
-        self.scheduler.closing(descriptor)
-        running.out.close()
-        try:
-            running.process.stdin.close()
-        except OSError:
-            pass
-        while running.process.poll() is None:
-            self.scheduler.sleep(0.01)
-        self.commands.pop(name, None)
-        self.carry_duties(self.duties.ended(self.clock(), name, self.outcome(running)))
+        why = "lease over"
+        if self.acts(start.name) == start.fence:
+            why = self.runs.start(start.name, start.command, start.fence, start.patience)
+        if why is not None:
+            self.run_ended(start.name, {"code": None, "why": why, "tail": ""})
+        self.tell_guards()
 
-    @staticmethod
-    def outcome(running):
-        try:
-            said = json.loads(running.text)
-            return {"code": said["code"], "why": said["why"], "tail": said["tail"]}
-        except (ValueError, KeyError, TypeError):
-            return {"code": None, "why": f"its guard ended with {running.process.returncode}", "tail": ""}
-
-    def tell_guards(self, now, term):
-        """How long the lease lasts. A command under an older number hears nothing more, and so ends in
-        time."""
-        for name in list(self.commands):
-            if term is not None and self.acts(name) is not None:
-                until = self.seams.to_boot(self.owner.lease_until)
-                self.tell_guard(name, b"until %.6f\n" % until)
-
-    def tell_guard(self, name, line):
-        running = self.commands.get(name)
-        if running is not None:
-            try:
-                os.write(running.process.stdin.fileno(), line)
-            except OSError:  # it has ended, or reads nothing: its own clock ends it
-                pass
+    def run_ended(self, name, outcome):
+        self.carry_duties(self.duties.ended(self.clock(), name, outcome))
+
+    def tell_guards(self):
+        if self.runs and self.leads(self.clock()):
+            self.runs.lease(self.acts, self.seams.to_boot(self.owner.lease_until))
 
     # ---- what operators ask
 
@@ -621,7 +436,7 @@
         named is fit no more."""
         if term is None:
             self.handing = None
-        elif not self.commands:
+        elif not self.runs:
             fit = self.successors()
             if fit:
                 to = self.handing if self.handing in fit else fit[int(self.chance.share() * len(fit))]
@@ -674,7 +489,7 @@
             return f"there is an owner: {self.owner.leader}"
         _, facts, _ = self.facts()
         floor = (self.epoch(max([facts.fence, *self.fences.seen.values()])) + 1) << bounds.EPOCH
-        self.vote_life = self.vote.life = max(int(1000 * self.seams.wall()), self.vote_life + 1)
+        self.vote_life = max(int(1000 * self.seams.wall()), self.vote_life + 1)
         self.duties.life = self.vote_life
         self.founding = None
         self.owner = Owner(
@@ -691,6 +506,16 @@
         self.log("fleet_revived", {"fence": floor})
         return None
 
+    def role(self):
+        """In words, what keeps it from voting first."""
+        if self.silenced:
+            return "silenced: " + self.silenced
+        if self.vote.failed_at is not None:
+            return "its disk does not keep its vote"
+        if self.founding is not None:
+            return "waits for the others named to vote"
+        return "remembers no vote" if self.owner.kept.blank else ROLES[self.owner.role]
+
     def status(self):
         now = self.clock()
         term, facts, owner = self.facts()
@@ -702,17 +527,7 @@
             "term": term,
             "fence": facts.fence,
             "lease_left_s": round(max(0.0, self.owner.lease_until - now), 3) if leads else None,
-            "role": "silenced: " + self.silenced
-            if self.silenced
-            else (
-                "its disk does not keep its vote"
-                if self.vote.failed_at is not None
-                else "waits for the others named to vote"
-                if self.founding is not None
-                else "remembers no vote"
-                if self.owner.kept.blank
-                else ROLES[self.owner.role]
-            ),
+            "role": self.role(),
             "voters": [name for name, _ in facts.voters],
             "doubt": self.membership.doubt,
             "members": [
@@ -728,14 +543,8 @@
             ],
             "duties": self.duties.figures(now),
             "owners": [{"duty": duty, "owner": one, "fence": fence} for duty, one, _, fence in facts.duties],
-            "share": None
-            if self.holder is None
-            else {
-                "calls": self.holder.usable(now),
-                "from": shares.SOURCES[self.holder.source],
-                "stale": self.holder.stale,
-            },
-            "split": self.splitter.figures(now) if self.splitter is not None and leads else None,
+            "share": None if self.calls is None else self.calls.figures(now),
+            "split": self.calls.split_figures(now) if self.calls is not None and leads else None,
             "links": len(self.links.links),
             "elections": self.elections,
         }
@@ -754,7 +563,7 @@
             "doubt": self.membership.doubt,
             "elections": self.elections,
             "fence_refused": self.fences.refused,
-            "share": -1 if self.holder is None else self.holder.usable(now),
+            "share": -1 if self.calls is None else self.calls.usable(),
         }
 
     # ---- the end
@@ -786,11 +595,7 @@
             return
         self.depart()
         self.closed = True
-        for name, running in list(self.commands.items()):
-            try:
-                running.process.stdin.close()  # the end of the server, as its guard sees it
-            except OSError:
-                pass
+        self.runs.close_all()
         self.links.close_now()
         if self.helper is not None:
             self.helper.finish(max(0.01, patience))
--- a/valeturn/lab/fabric/member.py
+++ b/valeturn/lab/fabric/member.py
@@ -66,7 +66,7 @@
         self.note_share()
 
     def note_share(self):
-        amount, until = self.share_now(), self.holder.until
+        amount, until = self.calls.usable(), self.calls.holder.until
         until = self.seams.to_boot(until) if until < 1e300 else 1e300
         line = f"share {running.boot_clock():.6f} {amount!r} {until:.6f}"
         if line.split()[2:] != getattr(self, "noted", None):
--- a/valeturn/program/parts/duties.py
+++ b/valeturn/program/parts/duties.py
@@ -21,8 +21,8 @@
         self.fleet.configure(built)
         found = sharing_of(built)
         if found is not None:
-            self.sharing = Sharing(self.fleet.share_now)
             self.fleet.share_calls(*found, lambda: self.sharing.need(server.core.at_calls()))
+            self.sharing = Sharing(self.fleet.calls.usable)
 
     def takes(self, built):
         """All but the sharing of calls, of which all servers must hold the same cap: that wants restarts."""
