--- a/valeturn/lab/fabric/measure.py
+++ b/valeturn/lab/fabric/measure.py
@@ -67,6 +67,7 @@
             await fleet.kill(owner)
             died = fleet.servers[owner].deaths[-1]
             await fleet.until_owned(40.0, but=owner)
+            await asyncio.sleep(0.3)  # its next look is noted
             seen = witness.looks(witness.read_notes({n: s.notes for n, s in fleet.servers.items()}))
             out.append(next(at for at, _, name in seen if at > died and name != owner) - died)
             await fleet.up(owner)
