turns: who goes out next, a server's place in it, the part, commands, a release in virtual time

Need: kernel updates and releases want machines out, one after another, with no conductor outside. Requests are rows in the fleet's log; the owner's order moves them by a table, a server drains only by a word that is good at its own last look.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,6 +17,7 @@
     "metrics": {"options"},
     "control": {"options", "transport"},
     "fleet": {"options", "transport", "control"},
+    "turns": {"options", "fleet", "control"},
     "routing": {"transport", "protocol", "interface", "levels", "store"},
     "wirehost": DECISIONS,
 }
--- a/valeturn/control/client.py
+++ b/valeturn/control/client.py
@@ -11,11 +11,11 @@
 PATIENCE = 3.0  # s for an answer
 
 
-def ask(path, request):
+def ask(path, request, patience=PATIENCE):
     """The answer as an object; one that says why there is none, where the server can't be asked."""
     try:
         with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
-            sock.settimeout(PATIENCE)
+            sock.settimeout(patience)
             sock.connect(path)
             sock.sendall(json.dumps(request).encode() + b"\n")
             data = b""
--- a/valeturn/control/requests.py
+++ b/valeturn/control/requests.py
@@ -39,6 +39,17 @@
     server: str | None
 
 
+class Turns(NamedTuple):
+    """What is asked about machines that go out for work."""
+
+    what: str
+    servers: tuple
+    zone: str | None
+    why: str
+    urgent: bool
+    work: float | None  # s
+
+
 class Fenced(NamedTuple):
     """A request under a number that only rises, of one who acts for the fleet."""
 
@@ -52,6 +63,8 @@
 
 
 FLEET = ("hand-over", "leave", "revive", "admit", "dismiss")
+TURNS = ("out", "back", "hold", "go-on")
+MOST_WORK = 86400.0  # s
 NAMING = ("admit", "dismiss")  # these want a server's name
 PLAIN = {"status": Status, "free": Free, "metrics": Metrics}
 
@@ -93,7 +106,25 @@
         if asked in NAMING and not server:
             return Bad(f"{asked} wants a server")
         return Fleet(asked, server)
-    return Bad("do wants status, metrics, hold, free or fleet")
+    if what == "turns":
+        return _turns(raw)
+    return Bad("do wants status, metrics, hold, free, fleet or turns")
+
+
+def _turns(raw):
+    asked, servers, zone, why = raw.get("what"), raw.get("servers", []), raw.get("zone"), raw.get("why", "")
+    work, urgent = raw.get("work"), raw.get("urgent", False)
+    if asked not in TURNS:
+        return Bad(f"what wants one of {', '.join(TURNS)}")
+    names = isinstance(servers, list) and all(isinstance(one, str) and 0 < len(one) <= 64 for one in servers)
+    if not names:
+        return Bad("servers wants a list of names")
+    if not (zone is None or isinstance(zone, str)) or not isinstance(why, str) or urgent not in (True, False):
+        return Bad("zone and why want texts, urgent true or false")
+    number = isinstance(work, (int, float)) and not isinstance(work, bool)
+    if work is not None and not (number and math.isfinite(work) and 1 <= work <= MOST_WORK):
+        return Bad(f"work wants seconds from 1 to {MOST_WORK:g}")
+    return Turns(asked, tuple(servers), zone, why, urgent, work)
 
 
 def good(**more):
--- a/valeturn/fleet/links.py
+++ b/valeturn/fleet/links.py
@@ -38,6 +38,7 @@
 
     def __init__(self, at, chance):
         self.at, self.link, self.queue, self.dialling = at, None, deque(), False
+        self.size = 0  # bytes in the queue
         self.used, self.not_before, self.backoff = 0.0, 0.0, Backoff(chance, FIRST, LONGEST)
 
 
@@ -75,8 +76,9 @@
             self.count("fleet.unreached")
             return
         peer.queue.append((now, data))
-        if len(peer.queue) > bounds.QUEUED:
-            peer.queue.popleft()
+        peer.size += len(data)
+        while len(peer.queue) > bounds.QUEUED or peer.size > bounds.QUEUED_BYTES and len(peer.queue) > 1:
+            peer.size -= len(peer.queue.popleft()[1])
             self.count("fleet.dropped")
         if peer.link is not None:
             self.pump(peer)
@@ -95,6 +97,7 @@
             else:
                 stream.write(data)
             peer.queue.popleft()
+            peer.size -= len(data)
 
     def reach(self, peer):
         try:
@@ -104,6 +107,7 @@
         if not isinstance(got, Stream):
             peer.not_before = self.scheduler.clock() + peer.backoff.next()
             peer.queue.clear()
+            peer.size = 0
             self.count("fleet.unreached")
             return
         if self.closed or peer.link is not None:  # the other was quicker
--- a/valeturn/fleet/owner.py
+++ b/valeturn/fleet/owner.py
@@ -57,12 +57,19 @@
     fact: tuple  # (kind, ...): see Facts
 
 
+def fact_of(said):
+    """A fact as the log has it, from a list of a message or a file."""
+    return tuple(tuple(one) if isinstance(one, list) else one for one in said)
+
+
 class Facts(NamedTuple):
     """What the log says, applied in order; a value."""
 
     voters: tuple = ()  # (name, life) of those that vote
     duties: tuple = ()  # (duty, owner, life, fence), by duty
     fence: int = 0  # the largest handed out
+    turns: tuple = ()  # rows of machines that go out for work, by server: see turns/order.py
+    held: bool = False  # nobody else goes out
 
     def duty(self, name):
         return next((row for row in self.duties if row[0] == name), None)
@@ -76,6 +83,12 @@
             return self._replace(duties=tuple(sorted([*rows, (duty, owner, life, fence)])), fence=fence)
         if kind == "drop":
             return self._replace(duties=tuple(row for row in self.duties if row[0] != what[0]))
+        if kind == "turn":  # a row: server, number, ..., its state and fence, which a grant allots
+            return self._turn(*what)
+        if kind == "turned":
+            return self._replace(turns=tuple(row for row in self.turns if row[0] != what[0]))
+        if kind == "hold":
+            return self._replace(held=bool(what[0]))
         # name, life: votes from now on; an earlier life is dismissed first, by a fact of its own
         if kind == "admit":
             name, life = what
@@ -88,6 +101,28 @@
             return self._replace(fence=max(self.fence, what[0]))
         return self  # "begin": a new leader's first entry
 
+    def _turn(self, row):
+        row, fence = list(row), self.fence
+        if row[STATE] == GRANTED and not row[FENCE]:
+            row[FENCE] = fence = fence + 1
+        rows = [one for one in self.turns if one[0] != row[0]]
+        return self._replace(turns=tuple(sorted([*rows, tuple(row)])), fence=fence)
+
+    def packed(self):
+        return [[list(row) for row in self.voters], [list(row) for row in self.duties], self.fence,
+                [list(row) for row in self.turns], self.held]
+
+    @classmethod
+    def read(cls, said):
+        """From what `packed` gave. Raises TypeError or ValueError where it is none."""
+        voters, duties, fence, turns, held = said
+        return cls(tuple((str(n), int(life)) for n, life in voters),
+                   tuple((str(d), str(o), int(life), int(f)) for d, o, life, f in duties), int(fence),
+                   tuple(tuple(row) for row in turns), bool(held))
+
+
+STATE, FENCE, GRANTED = 5, 6, 1  # of a turn's row, as turns/order.py has it
+
 
 class Kept(NamedTuple):
     """What a voter must not forget."""
@@ -195,7 +230,7 @@
             return False
         if tuple(fact[:2]) == ("dismiss", self.name):  # it hands over first
             return False
-        self._append(Entry(self.kept.term, tuple(fact)))
+        self._append(Entry(self.kept.term, fact_of(fact)))
         self._beat(now)
         return True
 
@@ -274,7 +309,7 @@
             self._step(now, HIGHER, term=term)
         self.leader = sender
         self._step(now, LED)
-        entries = [Entry(t, tuple(fact)) for t, fact in entries]
+        entries = [Entry(t, fact_of(fact)) for t, fact in entries]
         if index < self.kept.base:  # what stands in the snapshot is committed, and so agrees
             entries, index = entries[self.kept.base - index:], self.kept.base
             before_term = self.kept.base_term
@@ -301,8 +336,7 @@
         self.leader = sender
         self._step(now, LED)
         if base > self.applied:
-            voters, duties, fence = facts
-            facts = Facts(tuple(map(tuple, voters)), tuple(map(tuple, duties)), fence)
+            facts = Facts.read(facts)
             behind = self._behind(base) if self.term_of(base) == base_term else ()
             self._keep(base=base, base_term=base_term, facts=facts, entries=behind)
             self.facts, self.commit, self.applied = facts, base, base
@@ -396,9 +430,8 @@
     def _append_to(self, name):
         kept, first = self.kept, self.next.setdefault(name, self.last()[0] + 1)
         if first <= kept.base:
-            facts = [[list(row) for row in kept.facts.voters], [list(row) for row in kept.facts.duties],
-                     kept.facts.fence]
-            self.out.append(Send(name, "snapshot", [kept.term, self.round, kept.base, kept.base_term, facts]))
+            self.out.append(Send(name, "snapshot", [
+                kept.term, self.round, kept.base, kept.base_term, kept.facts.packed()]))
             return
         start = first - 1 - kept.base
         entries = [[e.term, list(e.fact)] for e in kept.entries[start:start + MOST]]
--- a/valeturn/fleet/running.py
+++ b/valeturn/fleet/running.py
@@ -20,12 +20,13 @@
 from .keeping import Keeping
 from .links import Links
 from .membership import ALIVE, LEFT, STATES, SUSPECTED, Membership
-from .owner import ROLES, Owner, Send
+from .owner import ROLES, Facts, Owner, Send
 from .owner import Told as Committed
 
 TICKS = 12  # a lease
 # of the lease between words of one that remembers nothing, and between facts for those that don't vote
 TELL = 0.5
+REMIND = 5.0  # s after which facts that have not changed are told again: a message may be lost
 ASKED = 3  # others, by chance, that one without a vote tells so while it knows no owner
 
 
@@ -80,12 +81,13 @@
         self.vote = Keeping(self.vote_folder, self.helper, self.encode_vote)
         self.duties = duties.Duties(name, self.vote_life, now)
         self.fences = Fences()
+        self.others = []  # subsystems on top: kinds, tick(now, term), each with messages of its own
         self.calls = None  # its share of them, where a duty splits them
         environment = {"VALETURN_SERVER": name, "VALETURN_FLEET": options.name}
         self.runs = runs.Runs(scheduler, environment, self.run_ended)
         self.wanted = {}  # name -> life of those that would vote
         self.heard_facts = None  # what a server that does not vote was told: (term, facts, owner, when)
-        self.told_at = -1e9
+        self.told_at, self.told_facts = -1e9, {}  # name -> ((term, commit), when) that it was told last
         self.told_role, self.silenced, self.unowned_since = None, None, now
         self.elections, self.closed, self.leaving = 0, False, False
         self.handing = None  # to whom it hands over, "" to any, while its commands end
@@ -140,6 +142,10 @@
         self.tell_guards()
         if self.calls is not None:
             self.calls.tick(now)
+        for other in self.others:
+            other.tick(now, term)
+        if self.leaving and term is not None and self.handing is None:  # elected again meanwhile
+            self.hand_over()
 
     def say_role(self, now, term):
         role = self.owner.role
@@ -185,7 +191,17 @@
             except (TypeError, ValueError):
                 self.count("fleet.refused.fields")
         else:
-            self.count("fleet.refused.kind")
+            self.hear_for_others(now, sender, kind, fields)
+
+    def hear_for_others(self, now, sender, kind, fields):
+        for other in self.others:
+            if kind in other.KINDS:
+                try:
+                    other.KINDS[kind](other, now, sender, *fields)
+                except (TypeError, ValueError, IndexError):
+                    self.count("fleet.refused.fields")
+                return
+        self.count("fleet.refused.kind")
 
     def send(self, name, kind, fields):
         member = self.membership.get(name)
@@ -263,6 +279,17 @@
                 },
             )
 
+    def owner_now(self):
+        """The name of the owner as far as is known here, or None."""
+        return self.name if self.leads(self.clock()) else self.facts()[2]
+
+    def propose(self, fact):
+        """The owner's: a fact for the log. False where it can't be proposed now."""
+        now = self.clock()
+        done = self.leads(now) and self.owner.propose(now, fact)
+        self.carry(self.owner.tick(now))
+        return done
+
     def facts(self):
         """(term, facts, owner as far as is known here)"""
         if self.owner.may_vote() or self.heard_facts is None:
@@ -274,9 +301,11 @@
         if term is not None:
             facts = self.owner.facts
             voting = {name for name, _ in facts.voters}
-            fields = [term, votes.pack_facts(facts)]
+            fields, mark = [term, facts.packed()], (term, self.owner.commit)
             for name in self.membership.alive():
-                if name not in voting:
+                before = self.told_facts.get(name)
+                if name not in voting and (before is None or before[0] != mark or now - before[1] >= REMIND):
+                    self.told_facts[name] = mark, now
                     self.send(name, "facts", fields)
         if not self.owner.kept.blank:  # it was admitted by others that had founded without it
             self.founding = None
@@ -340,7 +369,7 @@
     def on_facts(self, now, sender, term, packed):
         if self.owner.may_vote() and self.epoch(packed[2]) <= self.epoch(self.owner.facts.fence):
             return
-        facts = votes.read_facts(packed)
+        facts = Facts.read(packed)
         if self.heard_facts is not None and (term, facts.fence) < (
             self.heard_facts[0],
             self.heard_facts[1].fence,
--- a/valeturn/fleet/votes.py
+++ b/valeturn/fleet/votes.py
@@ -16,7 +16,7 @@
 import google_crc32c
 import msgpack
 
-from .owner import Entry, Facts, Kept
+from .owner import Entry, Facts, Kept, fact_of
 
 MAGIC = b"valeturn vote 1\n"
 FILE = "vote"
@@ -32,20 +32,6 @@
     kept: Kept
 
 
-def pack_facts(facts):
-    return [[list(row) for row in facts.voters], [list(row) for row in facts.duties], facts.fence]
-
-
-def read_facts(said):
-    """Facts from what `pack_facts` gave. Raises TypeError or ValueError where it is none."""
-    voters, duties, fence = said
-    return Facts(
-        tuple((str(n), int(life)) for n, life in voters),
-        tuple((str(d), str(o), int(life), int(f)) for d, o, life, f in duties),
-        int(fence),
-    )
-
-
 def encode(fleet, name, address, life, kept):
     packed = msgpack.packb(
         [
@@ -58,7 +44,7 @@
                 kept.vote,
                 kept.base,
                 kept.base_term,
-                pack_facts(kept.facts),
+                kept.facts.packed(),
                 [[entry.term, list(entry.fact)] for entry in kept.entries],
                 kept.blank,
             ],
@@ -93,8 +79,8 @@
             vote,
             base,
             base_term,
-            read_facts(facts),
-            tuple(Entry(t, tuple(fact)) for t, fact in entries),
+            Facts.read(facts),
+            tuple(Entry(t, fact_of(fact)) for t, fact in entries),
             blank,
         ),
     )
--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -59,6 +59,16 @@
         from .ownervirtual import main as owner
 
         return owner(number(given, "--servers"), number(given, "--faults"), seeds, sys.stdout)
+    if given["turns"]:
+        first, servers = number(given, "--seed"), number(given, "--servers")
+        seeds = range(first, first + max(1, number(given, "--seeds")))
+        if given["--virtual"]:
+            from .turns import main as release
+
+            return max(release(servers, seeds, sys.stdout, 0.85, lost) for lost in (0.0, 0.1))
+        from .fabric.turns import main as turns
+
+        return turns(servers, number(given, "--faults"), seeds, sys.stdout, given["--keep"])
     if given["shares"]:
         from .shares import main as shares
 
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -14,6 +14,10 @@
   valeturn fleet hand-over [--to NAME] SOCKET
   valeturn fleet (admit | dismiss) NAME SOCKET
   valeturn fleet leave SOCKET
+  valeturn fleet out (NAMES | --zone ZONE | --all) --for TEXT [--work TIME] [--urgent] [--wait TIME] SOCKET
+  valeturn fleet back NAMES SOCKET
+  valeturn fleet turns SOCKET [--json]
+  valeturn fleet (hold | go-on) SOCKET
   valeturn fleet revive [--i-know] SOCKET
   valeturn fleet fenced-replace FILE [--fence N]
   valeturn lab restarts [--kills N] [--seed S] [--lanes L] [--keep DIR]
@@ -24,6 +28,7 @@
                           [--against POLICIES]
   valeturn lab owner [--virtual | --measure] [--servers N] [--faults N] [--seed S] [--seeds N]
                      [--no-fences] [--keep DIR]
+  valeturn lab turns [--virtual] [--servers N] [--faults N] [--seed S] [--seeds N] [--keep DIR]
   valeturn lab shares [--servers N] [--seed S] [--seeds N]
   valeturn lab members [--servers N] [--loss S] [--slow S] [--minutes M] [--seed S]
   valeturn version
@@ -59,7 +64,12 @@
   --fence N        The number under which it is done; else VALETURN_FENCE.
   --no-fences      What the duty touches compares no numbers: to see that the storm does harm then.
   --json           The whole status, for programs.
-  --for TIME       How long a level is held, such as 5min: a day at the most.
+  --for TIME       How long a level is held, such as 5min: a day at the most; of turns: what for.
+  --zone ZONE      All servers of it that are there.
+  --all            All servers that are there.
+  --work TIME      That the work may take; else what [turns] says.
+  --urgent         Before those that are not, within a bound.
+  --wait TIME      Ends once all of them are empty (0), or it was refused (3), or that time is over (4).
   --kills N        How often the server is killed [default: 50].
   --seed S         For all chance [default: 1].
   --lanes L        Servers killed side by side, each with parties of its own [default: 4].
@@ -92,6 +102,7 @@
 from __future__ import annotations
 
 import importlib
+import os
 import signal
 import sys
 
@@ -133,7 +144,11 @@
         return fresh, operators_file(settings, fresh, receive)
 
     try:
-        return Server(c, logs.set_up(c.name), verbose, again, options, seams).serve()
+        server = Server(c, logs.set_up(c.name), verbose, again, options, seams)
+        code = server.serve()
+        if server.again:
+            os.execv(sys.executable, sys.orig_argv)
+        return code
     except OSError as error:  # the address to listen on is taken or not this machine's
         print(f"valeturn: listen: {error}", file=sys.stderr)
     return 2
--- a/valeturn/program/parts/__init__.py
+++ b/valeturn/program/parts/__init__.py
@@ -24,6 +24,7 @@
 TABLE = (
     Declared("store", "store.options", "program.parts.store"),
     Declared("level", "levels.options", "program.parts.levels"),
+    Declared("turns", "turns.options", "program.parts.turns"),  # drained before the fleet: it needs it
     Declared("fleet", "fleet.options", "program.parts.fleet"),
     Declared("duty", "fleet.dutyoptions", "program.parts.duties"),
     Declared("metrics", "metrics.options", "program.parts.metrics"),
--- /dev/null
+++ b/valeturn/program/parts/turns.py
@@ -0,0 +1,94 @@
+"""The order in which machines go out for work, as a part of the server."""
+
+from __future__ import annotations
+
+from ...control import requests
+from ...levels.decision import CALM
+from ...turns.running import Measured, Turns
+from . import Part as Base
+
+TURNED_BACK = 0.2  # of what came since the last look, that is strain
+FEW = 20  # that came, under which a share says nothing
+
+
+class Part(Base):
+    live = True
+
+    def __init__(self, server, built):
+        super().__init__(server, built)
+        self.turns, self.at_last = None, (0, 0)
+        self.by_turn = False
+
+    def start(self):
+        self.turns = Turns(
+            self.server.parts["fleet"].fleet, self.built, self.measure, self.go_out, self.server.log
+        )
+
+    def take(self, built):
+        self.built = self.turns.options = built
+        self.turns.order = None  # the owner begins anew with what is allowed now
+
+    def measure(self):
+        server, now = self.server, self.server.scheduler.clock()
+        core, s = server.core, server.configuration.names.settings
+        gauges = server.configuration.names.gauges(core.runs.gauges)
+        running = core.beliefs()["running"]
+        busy = gauges.busy if gauges.busy is not None else min(1.0, running / max(1, s.cores))
+        age = now - core.warm_since
+        warm = (
+            1.0
+            if not core.cold or age >= s.cold_time
+            else s.cold_speed + (1 - s.cold_speed) * age / s.cold_time
+        )
+        counts = server.counters.counts
+        came, back = counts.get("in.submissions", 0), counts.get("out.turned_back", 0)
+        lately, returned = came - self.at_last[0], back - self.at_last[1]
+        if lately >= FEW:
+            self.at_last = came, back
+        level = server.parts.get("level")
+        reduced = level is not None and level.reducing.decision.state != CALM
+        strained = reduced or lately >= FEW and returned > TURNED_BACK * lately or not core.good
+        return Measured(s.cores, busy, warm, strained, counts.get("out.delivered", 0))
+
+    def go_out(self):
+        self.by_turn = True
+        self.server.leave()
+
+    def leaving(self):
+        if self.by_turn:
+            self.by_turn = False  # this notice is its own
+        elif self.turns is not None:
+            self.turns.noticed()
+
+    def drained(self):
+        if self.turns is not None:
+            self.turns.drained()
+            self.server.again = self.turns.again
+
+    def close(self, patience):
+        if self.turns is not None:
+            self.turns.runs.close_all()
+
+    def status(self):
+        return {"turns": None if self.turns is None else self.turns.status()}
+
+    def answer(self, request):
+        if not isinstance(request, requests.Turns) or self.turns is None:
+            return None
+        why = {
+            "out": lambda: self.turns.ask(
+                self.named(request), request.why, request.urgent, request.work or self.built.work
+            ),
+            "back": lambda: self.turns.take_back(self.named(request)),
+            "hold": lambda: self.turns.hold(True),
+            "go-on": lambda: self.turns.hold(False),
+        }[request.what]()
+        return requests.good(servers=self.named(request)) if why is None else requests.refused(why)
+
+    def named(self, request):
+        """Those of a zone, or all that are there, where no names are given."""
+        members = self.server.parts["fleet"].fleet.status()["members"]
+        there = [m for m in members if m["state"] in ("alive", "suspected")]
+        if request.zone is not None:
+            return [m["name"] for m in there if m["zone"] == request.zone]
+        return list(request.servers) or [m["name"] for m in there]
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -89,6 +89,7 @@
             self.failed = True
 
     failed = False
+    again = False  # it is to be started anew, in place, once it has ended
 
     def serve(self):
         c, scheduler = self.configuration, self.scheduler
@@ -141,12 +142,12 @@
                 **{key: value for part in self.parts.values() for key, value in part.beliefs().items()}}
 
     def leave(self):
+        for part in self.parts.values():
+            part.leaving()
         if self.leave_at is None:
             self.leave_at = self.scheduler.clock()
             self.stop_at = self.leave_at + self.configuration.stop
             self.log("leaving", {"stop_in": self.configuration.stop})
-            for part in self.parts.values():
-                part.leaving()
             self.scheduler.spawn(self.drain, name="drain")
 
     def reload(self):
--- /dev/null
+++ b/valeturn/turns/__init__.py
@@ -0,0 +1,5 @@
+"""Machines go out for work in an order that the servers settle among themselves, on top of `valeturn/fleet`.
+
+`order` decides at the owner who goes next, `place` at each server what it does about that; both without I/O.
+docs/design/turns.md has the ways weighed.
+"""
