turns: strain is of those that serve; a grant is not taken back before it could be heard

From logs and the owner's rows: a draining server's own health counted as strain of the fleet (Order.strained); UNTAKEN counted from the owner's beginning where no word had been said yet (can_t_take_up), so that a look between grant and report took it back.

--- a/valeturn/turns/order.py
+++ b/valeturn/turns/order.py
@@ -204,7 +204,8 @@
 
     def can_t_take_up(self, row, view):
         """It was heard to serve after no word of any owner could be good any more."""
-        told = max(self.granted_at.get(row.server, -math.inf), self.since_owner)
+        granted = self.granted_at.get(row.server, -math.inf)
+        told = max(granted, self.since_owner, self.since[row.server][1])
         return view.heard > told + self.lasts
 
     def after_empty(self, now, row, rows, views):
@@ -212,12 +213,14 @@
             return TAKEN_BACK
         out = self.out(rows, views)
         room = self.capacity(now, views, out) * (1 - RESERVE * self.limits.spare)
-        if self.strained(now, views) or self.load(now, views) > room or not self.enough(now, views):
+        if self.under_strain(now, views) or self.load(now, views) > room or not self.enough(now, views):
             return NEEDED
         return GO
 
-    def strained(self, now, views):
-        return any(view.strained for view in self.known(now, views).values())
+    def under_strain(self, now, views):
+        """Names of those that serve and can hardly: one that drains says so of itself, which is no strain."""
+        return sorted(name for name, view in self.known(now, views).items()
+                      if view.strained and view.doing == WAITING)
 
     def enough(self, now, views):
         """Whether more than half of all that are known of report: a new owner waits, a minority decides
@@ -259,10 +262,9 @@
             return "it has not reported"
         if not self.enough(now, views):
             return "too few servers report"
-        if self.strained(now, views):
-            return "the fleet is under strain: " + ", ".join(
-                sorted(name for name, one in self.known(now, views).items() if one.strained)[:3]
-            )
+        strained = self.under_strain(now, views)
+        if strained:
+            return "the fleet is under strain: " + ", ".join(strained[:3])
         others = sorted(out - {row.server})
         if len(others) >= self.allowed(views):
             return "waits for " + ", ".join(self.in_words(now, name, rows) for name in others[:3])
