--- a/valeturn/lab/fabric/turns.py
+++ b/valeturn/lab/fabric/turns.py
@@ -86,7 +86,7 @@
 
 
 async def rows(fleet, name=None):
-    """name -> row, as the owner, or that server, tells; None where there is no owner. Others may be behind."""
+    """name -> row, as the owner, or that server, tells; None where there is no owner."""
     name = name or await fleet.owner()
     got = name and await fleet.ask(name, {"do": "status"})
     if got and got["good"] and got["status"].get("turns"):
