The change read again: one way to make an owner, to propose, to hand a message on

The owner was made in four places and a life that votes anew begun in two; facts were proposed in three ways; a message to a subsystem on top had a try of its own beside its twin (both refuse a short list now). The order of turns worked out who reports anew for each that waits, and the log's rows were read for each report: once a look, once a state of the log now. Kinds that two packages use stand with the kinds; the laboratory's walk over processes is the guard's.

--- a/valeturn/fleet/dutyoptions.py
+++ b/valeturn/fleet/dutyoptions.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from ..options.kinds import Quantity, Wants, Whole
+from ..options.kinds import One, Quantity, Text, Whole
 from ..options.schema import REQUIRED, Field, Shape
 from . import bounds
 
@@ -12,22 +12,6 @@
 LONGEST_PATIENCE = 0.3  # of the lease: with KILLED under half of it, what a healthy owner always has left
 
 
-class One(NamedTuple):
-    """The kind of one word of a few."""
-
-    words: tuple
-
-    def read(self, text):
-        if text not in self.words:
-            raise Wants("unreadable-value", f"wants {' or '.join(self.words)}, has {text!r}")
-        return text
-
-
-class Text(NamedTuple):
-    def read(self, text):
-        return text
-
-
 class DutyOptions(NamedTuple):
     do: str  # "run" or "share-calls"
     command: str | None  # for a shell, of `run`
--- a/valeturn/fleet/guard.py
+++ b/valeturn/fleet/guard.py
@@ -98,8 +98,6 @@
                         until, told_at = float(value), now()
                     elif word == b"stop" and term_at is None:
                         why, term_at, kill_at = "told to stop", now(), now() + patience
-        if code is None:
-            code = child.poll()
         moment, margin = now(), KILLED * max(0.0, until - told_at)
         if kill_at is None and moment >= until - margin - patience:
             why, term_at, kill_at = "lease over", moment, min(moment + patience, until - margin)
--- a/valeturn/fleet/links.py
+++ b/valeturn/fleet/links.py
@@ -182,12 +182,11 @@
                 return "too_many"
             peer = self.peers[at] = Peer(at, self.chance)
         peer.used = self.scheduler.clock()
-        if peer.link is not None:
-            # Two were made at once: both ends send by the one that the smaller address made, and read the
-            # other until it has been idle for long enough.
-            if self.listen < at and peer.link.dialled and peer.link.stream.trouble is None:
-                return None
-        self.attach(peer, link)
+        mine = peer.link is not None and peer.link.dialled and peer.link.stream.trouble is None
+        if not (mine and self.listen < at):
+            # Of two made at once both ends send by the one that the smaller address made, and read the other
+            # until it has been idle for long enough.
+            self.attach(peer, link)
         return None
 
     def over(self, link):
--- a/valeturn/fleet/running.py
+++ b/valeturn/fleet/running.py
@@ -73,7 +73,7 @@
         self.membership = Membership(
             name, options.listen, options.zone, life, options.seeds, chance, now, options.probe
         )
-        self.owner = Owner(name, self.vote_life, options.lease, chance, now, kept)
+        self.owner = self.make_owner(kept=kept)
         self.founding = None
         if name in options.voters and self.owner.kept.blank and not self.owner.facts.voters:
             floor = 0 if options.folder is not None else int(seams.wall()) << bounds.EPOCH
@@ -185,23 +185,15 @@
         elif kind in Owner.KINDS:
             if self.vote.failed_at is None:
                 self.carry(self.owner.hear(now, sender, kind, fields))
-        elif kind in self.KINDS:
-            try:
-                self.KINDS[kind](self, now, sender, *fields)
-            except (TypeError, ValueError):
-                self.count("fleet.refused.fields")
         else:
-            self.hear_for_others(now, sender, kind, fields)
-
-    def hear_for_others(self, now, sender, kind, fields):
-        for other in self.others:
-            if kind in other.KINDS:
-                try:
-                    other.KINDS[kind](other, now, sender, *fields)
-                except (TypeError, ValueError, IndexError):
-                    self.count("fleet.refused.fields")
+            taker = next((one for one in (self, *self.others) if kind in one.KINDS), None)
+            if taker is None:
+                self.count("fleet.refused.kind")
                 return
-        self.count("fleet.refused.kind")
+            try:
+                taker.KINDS[kind](taker, now, sender, *fields)
+            except (TypeError, ValueError, IndexError):
+                self.count("fleet.refused.fields")
 
     def send(self, name, kind, fields):
         member = self.membership.get(name)
@@ -286,7 +278,9 @@
     def propose(self, fact):
         """The owner's: a fact for the log. False where it can't be proposed now."""
         now = self.clock()
-        done = self.leads(now) and self.owner.propose(now, fact)
+        if not self.leads(now):
+            return False
+        done = self.owner.propose(now, fact)
         self.carry(self.owner.tick(now))
         return done
 
@@ -341,30 +335,22 @@
     def found(self):
         self.founded_set = self.founding.founded
         self.founding = None
-        now = self.clock()
         voters = tuple((name, life) for name, life, _ in self.founded_set)
-        self.owner = Owner(
-            self.name,
-            self.vote_life,
-            self.options.lease,
-            self.chance,
-            now,
-            None,
-            voters,
-            max(floor for _, _, floor in self.founded_set),
-        )
+        self.owner = self.make_owner(voters=voters, fence=max(floor for _, _, floor in self.founded_set))
         self.log("fleet_founded", {"voters": ",".join(name for name, _ in voters)})
 
     def admit(self, now):
         """The owner takes voters back that lost their memory, and in those that an operator named."""
-        named = {name for name, _ in self.owner.facts.voters} | self.asked_in
+        voters = dict(self.owner.facts.voters)
+        named = {*voters, *self.asked_in, *self.options.voters}
         for name, life in list(self.wanted.items()):
-            if dict(self.owner.facts.voters).get(name) == life:
+            if voters.get(name) == life:
                 del self.wanted[name]
                 self.asked_in.discard(name)
-            elif name in named or name in self.options.voters and self.owner.facts.voters:
+            elif name in named:
                 self.owner.readmit(now, name, life)
-        self.carry(self.owner.tick(now))
+        if self.wanted:
+            self.carry(self.owner.tick(now))
 
     def on_facts(self, now, sender, term, packed):
         if self.owner.may_vote() and self.epoch(packed[2]) <= self.epoch(self.owner.facts.fence):
@@ -379,18 +365,24 @@
         for name, _, _, fence in facts.duties:
             self.fences.passes(name, fence)
         if self.owner.may_vote() and (self.name, self.vote_life) not in facts.voters:
-            self.forget(now)
+            self.forget()
 
     @staticmethod
     def epoch(fence):
         return fence >> bounds.EPOCH
 
-    def forget(self, now):
+    def forget(self):
         """The fleet was revived without this one: what it has kept is of before, and it votes anew."""
         self.log("fleet_revived_without", {"life": self.vote_life})
-        self.vote_life = max(int(1000 * self.seams.wall()), self.vote_life + 1)
-        self.owner = Owner(self.name, self.vote_life, self.options.lease, self.chance, now)
-        self.duties.life = self.vote_life
+        self.vote_anew()
+        self.owner = self.make_owner()
+
+    def vote_anew(self):
+        """In a life that has never voted."""
+        self.vote_life = self.duties.life = max(int(1000 * self.seams.wall()), self.vote_life + 1)
+
+    def make_owner(self, **how):
+        return Owner(self.name, self.vote_life, self.options.lease, self.chance, self.clock(), **how)
 
     # ---- shares of the calls
 
@@ -417,9 +409,7 @@
         now = self.clock()
         for effect in effects:
             if isinstance(effect, duties.Propose):
-                if self.leads(now):
-                    self.owner.propose(now, effect.fact)
-                    self.carry(self.owner.tick(now))
+                self.propose(effect.fact)
             elif isinstance(effect, duties.Start):
                 self.start_command(now, effect)
             elif isinstance(effect, duties.Stop):
@@ -497,10 +487,9 @@
             return "an owner does not dismiss itself: hand over first"
         if len(voters) == 1:
             return "the last voter stays"
-        if not self.owner.propose(now, ("dismiss", name)):
+        if not self.propose(("dismiss", name)):
             return "another change of voters is under way"
         self.asked_in.discard(name)
-        self.carry(self.owner.tick(now))
         return None
 
     def revive(self):
@@ -518,20 +507,10 @@
             return f"there is an owner: {self.owner.leader}"
         _, facts, _ = self.facts()
         floor = (self.epoch(max([facts.fence, *self.fences.seen.values()])) + 1) << bounds.EPOCH
-        self.vote_life = max(int(1000 * self.seams.wall()), self.vote_life + 1)
-        self.duties.life = self.vote_life
+        self.vote_anew()
         self.founding = None
-        self.owner = Owner(
-            self.name,
-            self.vote_life,
-            self.options.lease,
-            self.chance,
-            now,
-            None,
-            ((self.name, self.vote_life),),
-            floor,
-            self.owner.kept.term + 1,
-        )
+        voters = ((self.name, self.vote_life),)
+        self.owner = self.make_owner(voters=voters, fence=floor, term=self.owner.kept.term + 1)
         self.log("fleet_revived", {"fence": floor})
         return None
 
--- a/valeturn/lab/fabric/fleet.py
+++ b/valeturn/lab/fabric/fleet.py
@@ -13,6 +13,7 @@
 import sys
 import time
 
+from ...fleet.guard import children_of
 from ...fleet.running import boot_clock
 from ...transport.chance import Chance
 from ..checker import check
@@ -188,18 +189,7 @@
 
     def tree(self, server):
         """The server's process and all that it started."""
-        parents = {}
-        for entry in os.listdir("/proc"):
-            if entry.isdigit():
-                with contextlib.suppress(OSError):
-                    rest = pathlib.Path(f"/proc/{entry}/stat").read_bytes().rpartition(b")")[2].split()
-                    parents.setdefault(int(rest[1]), []).append(int(entry))
-        found, todo = [server.process.pid], [server.process.pid]
-        while todo:
-            for child in parents.get(todo.pop(), ()):
-                found.append(child)
-                todo.append(child)
-        return found
+        return [server.process.pid, *children_of([server.process.pid])]
 
     def stop(self, name, whole=True):
         """SIGSTOP: of the server alone, or of its commands too, as a machine that stands still."""
--- a/valeturn/options/kinds.py
+++ b/valeturn/options/kinds.py
@@ -86,3 +86,21 @@
         if not self.least <= found[0] <= self.most:
             raise Wants("out-of-range", f"wants {self.least} to {self.most}, has {text!r}")
         return int(found[0])
+
+
+class One(NamedTuple):
+    """One word of a few."""
+
+    words: tuple
+
+    def read(self, text):
+        if text not in self.words:
+            raise Wants("unreadable-value", f"wants {' or '.join(self.words)}, has {text!r}")
+        return text
+
+
+class Text(NamedTuple):
+    """As it is written: a command for a shell."""
+
+    def read(self, text):
+        return text
--- a/valeturn/program/parts/turns.py
+++ b/valeturn/program/parts/turns.py
@@ -32,8 +32,9 @@
         server, now = self.server, self.server.scheduler.clock()
         core, s = server.core, server.configuration.names.settings
         gauges = server.configuration.names.gauges(core.runs.gauges)
-        running = core.beliefs()["running"]
-        busy = gauges.busy if gauges.busy is not None else min(1.0, running / max(1, s.cores))
+        busy = gauges.busy
+        if busy is None:
+            busy = min(1.0, core.beliefs()["running"] / max(1, s.cores))
         age = now - core.warm_since
         warm = (
             1.0
@@ -75,20 +76,20 @@
     def answer(self, request):
         if not isinstance(request, requests.Turns) or self.turns is None:
             return None
+        names = self.named(request)
         why = {
             "out": lambda: self.turns.ask(
-                self.named(request), request.why, request.urgent, request.work or self.built.work
+                names, request.why, request.urgent, request.work or self.built.work
             ),
-            "back": lambda: self.turns.take_back(self.named(request)),
+            "back": lambda: self.turns.take_back(names),
             "hold": lambda: self.turns.hold(True),
             "go-on": lambda: self.turns.hold(False),
         }[request.what]()
-        return requests.good(servers=self.named(request)) if why is None else requests.refused(why)
+        return requests.good(servers=names) if why is None else requests.refused(why)
 
     def named(self, request):
         """Those of a zone, or all that are there, where no names are given."""
-        members = self.server.parts["fleet"].fleet.status()["members"]
-        there = [m for m in members if m["state"] in ("alive", "suspected")]
+        membership = self.server.parts["fleet"].fleet.membership
         if request.zone is not None:
-            return [m["name"] for m in there if m["zone"] == request.zone]
-        return list(request.servers) or [m["name"] for m in there]
+            return [name for name in membership.alive() if membership.get(name).zone == request.zone]
+        return list(request.servers) or membership.alive()
--- a/valeturn/turns/options.py
+++ b/valeturn/turns/options.py
@@ -4,8 +4,7 @@
 
 from typing import NamedTuple
 
-from ..fleet.dutyoptions import One, Text
-from ..options.kinds import Quantity, Switch, Whole
+from ..options.kinds import One, Quantity, Switch, Text, Whole
 from ..options.schema import Field, Shape
 from .order import Limits
 
--- a/valeturn/turns/order.py
+++ b/valeturn/turns/order.py
@@ -135,17 +135,19 @@
             if view.there and now - view.heard <= FRESH * self.lease
         }
 
-    def capacity(self, now, views, out):
+    @staticmethod
+    def capacity(known, out):
         """Cores' worth that is in service: cold and doubted ones count for what they can carry, those that
         are out or were not heard for nothing."""
         return sum(
             view.cores * view.warm * (DOUBTED if view.doubted else 1.0)
-            for name, view in self.known(now, views).items()
+            for name, view in known.items()
             if name not in out
         )
 
-    def load(self, now, views):
-        return sum(view.cores * view.warm * view.busy for view in self.known(now, views).values())
+    @staticmethod
+    def load(known):
+        return sum(view.cores * view.warm * view.busy for view in known.values())
 
     def out(self, rows, views):
         """Names that are out: by a request, or lost without one."""
@@ -161,19 +163,19 @@
     def look(self, now, rows, views, held):
         """Facts to propose: ("turn", packed row) or ("turned", server). rows: as committed. held: nobody else
         goes out."""
-        facts, seen = [], {row.server for row in rows}
+        facts, seen, known = [], {row.server for row in rows}, self.known(now, views)
         self.since = {name: at for name, at in self.since.items() if name in seen}
         for row in rows:
             if self.since.get(row.server, (None,))[0] != row.state:
                 self.since[row.server] = row.state, now
-            given = self.given(now, row, views.get(row.server), rows, views)
+            given = self.given(now, row, views.get(row.server), rows, views, known)
             if given is not None:
                 facts += self.step(row, given, views[row.server].life if row.server in views else None)
         if not facts:  # one thing after another: what is out counts once it is committed
-            facts += self.choose(now, rows, views, held)
+            facts += self.choose(now, rows, views, known, held)
         return facts
 
-    def given(self, now, row, view, rows, views):
+    def given(self, now, row, view, rows, views, known):
         """The input that holds for a row, or None."""
         if row.state == WAITING:
             return TAKEN_BACK if row.unwanted else None
@@ -197,7 +199,7 @@
         if view.doing == EMPTY and view.fence == row.fence:
             if row.state != EMPTY:
                 return EMPTIED
-            return self.after_empty(now, row, rows, views)
+            return self.after_empty(row, rows, views, known)
         if view.doing == DRAINING and view.fence == row.fence:
             return BEGAN if row.state == GRANTED else None
         return UNTAKEN if row.state == GRANTED and fresh and self.can_t_take_up(row, view) else None
@@ -208,35 +210,34 @@
         told = max(granted, self.since_owner, self.since[row.server][1])
         return view.heard > told + self.lasts
 
-    def after_empty(self, now, row, rows, views):
+    def after_empty(self, row, rows, views, known):
         if row.unwanted:
             return TAKEN_BACK
         out = self.out(rows, views)
-        room = self.capacity(now, views, out) * (1 - RESERVE * self.limits.spare)
-        if self.under_strain(now, views) or self.load(now, views) > room or not self.enough(now, views):
+        room = self.capacity(known, out) * (1 - RESERVE * self.limits.spare)
+        if self.under_strain(known) or self.load(known) > room or not self.enough(known, views):
             return NEEDED
         return GO
 
-    def under_strain(self, now, views):
+    @staticmethod
+    def under_strain(known):
         """Names of those that serve and can hardly: one that drains says so of itself, which is no strain."""
-        return sorted(name for name, view in self.known(now, views).items()
-                      if view.strained and view.doing == WAITING)
+        return sorted(name for name, view in known.items() if view.strained and view.doing == WAITING)
 
-    def enough(self, now, views):
+    @staticmethod
+    def enough(known, views):
         """Whether more than half of all that are known of report: a new owner waits, a minority decides
         nothing."""
-        return 2 * len(self.known(now, views)) > len(views)
+        return 2 * len(known) > len(views)
 
-    def choose(self, now, rows, views, held):
+    def choose(self, now, rows, views, known, held):
         """At most one grant, and who is passed by it."""
-        out, waiting = (
-            self.out(rows, views),
-            [row for row in rows if row.state == WAITING and not row.unwanted],
-        )
+        out = self.out(rows, views)
+        waiting = [row for row in rows if row.state == WAITING and not row.unwanted]
         waiting.sort(key=lambda row: (row.passed < PASSED, not row.urgent, row.number))
         self.reasons, passed = {}, []
         for row in waiting:
-            why = self.why_not(now, row, rows, views, out, held)
+            why = self.why_not(now, row, rows, views, known, out, held)
             if why is None and passed and passed[0].passed >= PASSED:
                 why = f"waits for {passed[0].server}, which was passed {PASSED} times"
             if why is not None:
@@ -251,18 +252,18 @@
             ]
         return []
 
-    def why_not(self, now, row, rows, views, out, held):
+    def why_not(self, now, row, rows, views, known, out, held):
         """In words, or None where it may go."""
         view = views.get(row.server)
         if held:
             return "turns are held by an operator"
         if view is None or not view.there:
             return "it is not there"
-        if row.server not in self.known(now, views):
+        if row.server not in known:
             return "it has not reported"
-        if not self.enough(now, views):
+        if not self.enough(known, views):
             return "too few servers report"
-        strained = self.under_strain(now, views)
+        strained = self.under_strain(known)
         if strained:
             return "the fleet is under strain: " + ", ".join(strained[:3])
         others = sorted(out - {row.server})
@@ -271,7 +272,7 @@
         zones = {views[name].zone for name in others if name in views}
         if self.limits.one_zone and view.zone != "-" and zones - {view.zone}:
             return f"waits for zone {', '.join(sorted(zones - {view.zone}))}"
-        load, after = self.load(now, views), self.capacity(now, views, out | {row.server})
+        load, after = self.load(known), self.capacity(known, out | {row.server})
         if load > (1 - self.limits.spare) * after:
             return f"its cores are needed: {load:.1f} in use, {after:.1f} left without it"
         return None
--- a/valeturn/turns/running.py
+++ b/valeturn/turns/running.py
@@ -7,13 +7,14 @@
 from ..fleet.membership import ALIVE, SUSPECTED
 from ..fleet.runs import Runs
 from . import place as pl
-from .order import STATES, WAITING, Order, Row, View, read_row
+from .order import DRAINING, EMPTY, STATES, WAITING, Order, Row, View, read_row
 
 ROUND = 0.5  # of a lease between reports
 LASTS = 1.5  # leases that a word of the owner is good, from the report that it answers
 MOST_ROWS = 1024  # requests at once: one for each server there may be
 ROSTER = 3600.0  # s that a server which was heard of counts as one that should be there
 HOOK = "turn"
+DOING = {pl.DRAINS: DRAINING, pl.EMPTY: EMPTY, pl.AT_WORK: EMPTY}  # as the owner is told
 
 
 class Measured(NamedTuple):
@@ -34,13 +35,18 @@
         self.place = pl.Place(fleet.clock(), self.lasts, options.patience)
         self.order, self.reports = None, {}  # of the owner; name -> View
         self.report_at = self.look_at = 0.0
+        self.read_from, self.read_rows = (), []
         self.again = False  # once it has ended it is to be started anew, in place
         self.hook_ended, self.returned_told = True, False
         self.runs = Runs(fleet.scheduler, fleet.runs.environment, self.hook_over)
         fleet.others.append(self)
 
     def rows(self):
-        return [read_row(row) for row in self.fleet.facts()[1].turns]
+        """As far as they are known here; read once for each state of the log."""
+        turns = self.fleet.facts()[1].turns
+        if turns is not self.read_from:
+            self.read_from, self.read_rows = turns, [read_row(row) for row in turns]
+        return self.read_rows
 
     # ---- time
 
@@ -62,7 +68,7 @@
 
     def report(self, now):
         m = self.measure()
-        doing = {pl.DRAINS: 2, pl.EMPTY: 3, pl.AT_WORK: 3}.get(self.place.state, WAITING)
+        doing = DOING.get(self.place.state, WAITING)
         fields = [
             self.place.asked(now),
             self.fleet.membership.me.life,
@@ -204,7 +210,7 @@
         return self.until(
             [list(servers)],
             "turn-back",
-            lambda rows: all(row.unwanted or row.state > 3 for row in rows if row.server in servers),
+            lambda rows: all(row.unwanted or row.state > EMPTY for row in rows if row.server in servers),
         )
 
     def hold(self, held):
