A mark with another body is no repeat: turned back, never given the other's result

Ruled out by writing out each arrival (a trial): unknown ids, reused streams, unknown tenants. All those answered 'served' were copies of an open or ended submission with its mark, tenant, caller and times, a new id and another body; every true repeat bore the same body. At fault: Repeating.newcomer took the mark alone for the identity (routing/repeating.py), so that Core joined the copy to the run and delivered it the result.

Now a repeat has its original's tenant and body too; what bears a known mark with another body or tenant is turned back as a fault of its connection (`in` `unreadable.mark_reused`) and is never run, as nothing may run twice under one mark. With this, in the same review: a dead entry stays for the longest cut-off where that is over 5 s (a repeat read later than that ran a second time), and who waits for one whose caller leaves before it ran is written off at once and not at its due time (and `joiners` kept it for ever).

The fingerprint is not in the store yet: after a restart with `[store]` a mark alone counts, as before.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -271,7 +271,11 @@
     """A connection that keeps what it is answered."""
 
     def __init__(self):
-        self.answers, self.refused = [], None
+        self.answers, self.refused, self.unread = [], None, []
+
+    def refuse(self, stream, why):
+        self.unread.append(why)
+        self.turn_back(stream, None)
 
     def refuse_connection(self, reason):
         self.refused = reason
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -210,7 +210,10 @@
         w = self.settings.workloads[workload]
         waited = max(0.0, time.time() - s.reached)
         key = self.repeating.key_of(s, workload, w)
-        sub = Open(now, number, connection, s.stream, s.call, s.workload, w, s.body, key, s.hint)
+        sub = Open(now, number, connection, s.stream, s.call, s.workload, w, s.body, key, s.hint, s.tenant)
+        if self.repeating.mark_reused(now, sub, waited):
+            connection.refuse(s.stream, "mark_reused")
+            return
         sub.repeats, room_in = self.repeating.newcomer(now, sub, waited)
         self.open[number] = self.by_call[s.call] = self.by_stream[connection, s.stream] = sub
         left = None if s.wait is None or not self.names.passes_wait else max(0.0, s.wait - waited)
@@ -260,6 +263,7 @@
     def answer_check(self, connection, stream, good):
         self.count("out.checks_good" if good else "out.checks_bad")
         connection.tell_health(stream, self.load, good)
+                self.repeating.end_joiners(sub, None)  # what waits for its end would wait for ever
 
     def put_later(self, message):
         """For what a turn tells the module in the next one."""
--- a/valeturn/routing/open.py
+++ b/valeturn/routing/open.py
@@ -40,14 +40,15 @@
         "sent_mark",
         "since",
         "stream",
+        "tenant",
         "w",
         "workload",
     )
 
-    def __init__(self, since, number, connection, stream, call, workload, w, body, key, hint):
+    def __init__(self, since, number, connection, stream, call, workload, w, body, key, hint, tenant=None):
         self.number, self.connection, self.stream, self.call = number, connection, stream, call
         self.workload, self.w, self.body, self.key, self.since = workload, w, body, key, since
-        self.hint, self.answered, self.run, self.ran = hint, False, IDLE, False
+        self.hint, self.answered, self.run, self.ran, self.tenant = hint, False, IDLE, False, tenant
         self.sent_mark, self.sent_at = 0, 0.0
         self.halting, self.halted = False, None  # asked to stop; the gauges' mark when that was sent
         self.probed = False  # told to stop only to find out whether it runs
--- a/valeturn/routing/repeating.py
+++ b/valeturn/routing/repeating.py
@@ -10,7 +10,7 @@
 from .. import interface as it
 from . import messages as msg
 from .open import NOTED
-from .repeats import Repeats
+from .repeats import UNREAD, Repeats
 
 IN_STORE = 0  # what the module is told that a newcomer repeats, where only the store knows it; ids begin at 1
 
@@ -18,7 +18,11 @@
 class Repeating:
     def __init__(self, core, most, kept=None):
         self.core, self.kept = core, kept
-        self.table, self.batch, self.joiners = Repeats(most), {}, {}
+        # A repeat can be read as late as it is due, and what is due is at most a cut-off old.
+        longest = max((w.cut_off for w in core.settings.workloads if w.effect is not it.Effect.UNREPEATABLE),
+                      default=0.0)
+        unread = max(UNREAD, longest + core.settings.answer_slack)
+        self.table, self.batch, self.joiners = Repeats(most, unread), {}, {}
 
     # ---- newcomers
 
@@ -29,6 +33,19 @@
         reads = w.effect is it.Effect.IDEMPOTENT and self.core.settings.fresh_for > 0
         return (workload, s.subject) if reads and s.subject is not None else None
 
+    def fingerprint(self, sub):
+        """What repeats of a deduplicated submission have in common with it beside the mark. Reads differ."""
+        return hash((sub.tenant, sub.body)) if sub.w.effect is it.Effect.DEDUPLICATED else None
+
+    def mark_reused(self, now, sub, waited):
+        """True where its mark is that of another submission: not a repeat, so that it must not be given the
+        other's result; and nothing may run twice under one mark."""
+        if sub.key is None or sub.w.effect is not it.Effect.DEDUPLICATED:
+            return False
+        fingerprint, first = self.fingerprint(sub), self.core.open.get(self.batch.get(sub.key))
+        return self.table.reused(sub.key, now - waited, fingerprint) or (
+            first is not None and self.fingerprint(first) != fingerprint)
+
     def newcomer(self, now, sub, waited):
         """(the id that it repeats, or None; seconds until a repeat of it could be told apart, 0 where now)"""
         if sub.key is None:
@@ -59,7 +76,7 @@
         if sub is None or sub.key is None:
             return
         sub.lasting_to = now + a.lasting
-        if not self.table.keep(a.id, sub.key, now + a.lasting):
+        if not self.table.keep(a.id, sub.key, now + a.lasting, self.fingerprint(sub)):
             self.core.count("repeats.no_room")
 
     def do_forget(self, now, a):
--- a/valeturn/routing/runs.py
+++ b/valeturn/routing/runs.py
@@ -118,8 +118,9 @@
 
     def run_over(self, sub, outcome, took, result):
         self.core.count("run." + outcome.name.lower())
-        if outcome is it.Outcome.MOOT:
+        if outcome is it.Outcome.MOOT:  # over without a run: its mark must not turn the one it copies away
             self.core.repeating.never_began(sub)
+            self.core.repeating.table.remove(sub.number)
         self.core.ledger.give_up(sub.number)
         sub.run, sub.notice, sub.reply = IDLE, None, None
         sub.halting, sub.halted, sub.probed = False, None, False
