--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -239,6 +239,7 @@
             self.forget_caller(sub)
             self.events.append(it.Gone(sub.number))
             if sub.run == IDLE:
+                self.repeating.end_joiners(sub, None)  # what waits for its end would wait for ever
                 self.drop(sub)
 
     def on_check(self, now, m):
@@ -263,7 +264,6 @@
     def answer_check(self, connection, stream, good):
         self.count("out.checks_good" if good else "out.checks_bad")
         connection.tell_health(stream, self.load, good)
-                self.repeating.end_joiners(sub, None)  # what waits for its end would wait for ever
 
     def put_later(self, message):
         """For what a turn tells the module in the next one."""
