A fault ends neither the loop nor what a server can't do without; no wake is left behind

Seen in the code, forced by tests: a fault in a timer's action was raised in the hub, which ended the loop and with it the server, with all that was owed. A task that waited for room in a queue and was woken by somebody else stayed among those to be woken: the next wake met it in some other wait, where a connection took it for its end. At fault: Scheduler.meet_timers, Scheduler.spawn for lasting tasks, Mailbox.put (transport/scheduler.py).

Now a timer's fault is told as a task's is; `spawn_lasting` tells a fault and goes on after 0.1 s; a putter takes itself off. `interrupt` wakes the one task that waits for a descriptor and no other. The owner of the module is none of these: its fault ends the process, as before.

--- a/valeturn/routing/naming.py
+++ b/valeturn/routing/naming.py
@@ -18,7 +18,7 @@
         self.serving = self.idle = self.again = False
         self.reported_at = scheduler.clock()  # the last that may have counted
         self.move(address)
-        self.task = scheduler.spawn(self.run, name="naming")
+        self.task = scheduler.spawn_lasting(self.run, name="naming")
 
     def move(self, address):
         """Reports go to this address from now on, the first at once."""
--- a/valeturn/transport/scheduler.py
+++ b/valeturn/transport/scheduler.py
@@ -10,11 +10,13 @@
 import select
 import time
 from collections import deque
+from typing import NamedTuple
 
 import greenlet
 
 LATE_ROUNDS = 4  # reads of a burst's tail come within a few rounds; more would only delay what has been read
 READ, WRITE = select.POLLIN, select.POLLOUT
+AGAIN = 0.1  # s before a lasting task that failed goes on: its fault may come back at once, with a log line
 
 
 class Cancelled(greenlet.GreenletExit):
@@ -27,6 +29,12 @@
         self.name, self.parked, self.doomed, self.late = name, False, False, False
 
 
+class Failed(NamedTuple):
+    """What failed, where that is no task of its own."""
+
+    name: str
+
+
 class Timer:
     __slots__ = ("action", "when")
 
@@ -49,12 +57,31 @@
 
     # ---- tasks
 
+    current = staticmethod(greenlet.getcurrent)
+
     def spawn(self, function, *args, name=None, late=False):
         task = Task(lambda _: function(*args), name or function.__name__)
         task.late, task.parked = late, True
         self.wake(task)
         return task
 
+    def spawn_lasting(self, function, name):
+        """One that the server can't do without: after a fault, which is told, it goes on from its beginning.
+        Without this a single odd event would leave a server that lives and no longer accepts, reports or
+        drains."""
+
+        def lasting():
+            while True:
+                try:
+                    return function()
+                except Exception as error:
+                    if self.on_failure is None:
+                        raise
+                    self.on_failure(Failed(name), error)
+                self.sleep(AGAIN)
+
+        return self.spawn(lasting, name=name)
+
     def wake(self, task, value=None):
         """Makes a parked task ready; the first of several wakes counts."""
         if task.parked:
@@ -129,6 +156,13 @@
             if not ways:
                 del self.waiting[fd]
 
+    def interrupt(self, fd, way):
+        """Whoever waits for the descriptor goes on as if the time were up. Nobody else is woken: a wake of a
+        task that waits for something else by now would be taken for that."""
+        task = self.waiting.get(fd, {}).get(way)
+        if task is not None:
+            self.wake(task, False)
+
     def closing(self, fd):
         """Called before a descriptor is closed: its number will be another's."""
         for way, task in list(self.waiting.get(fd, {}).items()):
@@ -191,7 +225,12 @@
                 self.timers_met += 1
                 self.lag_sum += now - when
                 self.lag_most = max(self.lag_most, now - when)
-                timer.action()
+                try:
+                    timer.action()
+                except Exception as error:  # it runs in the hub, where a fault would end the loop
+                    if self.on_failure is None:
+                        raise
+                    self.on_failure(Failed("timer"), error)
         if len(self.timers) > 64 and sum(t.action is None for _, _, t in self.timers) * 2 > len(self.timers):
             self.timers = [entry for entry in self.timers if entry[2].action is not None]
             heapq.heapify(self.timers)
@@ -222,8 +261,13 @@
 
     def put(self, item):
         while len(self.items) >= self.most:
-            self.putters.append(greenlet.getcurrent())
-            self.scheduler.park()
+            task = greenlet.getcurrent()
+            self.putters.append(task)
+            try:
+                self.scheduler.park()
+            finally:  # woken by another or cancelled: a wake left behind would meet it in some other wait
+                if task in self.putters:
+                    self.putters.remove(task)
         self.push(item)
 
     def push(self, item):
