A run whose end may have been missed is never started again; a reply is not sent twice on a link

After missed notices a run of deduplicated or unrepeatable work counts as in doubt. Told to stop, with no end told, it was taken as one that never ran (Runs.surely_not_running), and the module started it again: a second effect, where its end was among the notices that were missed. The same where work can't be stopped at all and the caller's time is up: the store was told that it never began, so that a repeat would have run. 2. A reply to a call that came between the welcome and the end of the replay went out at once and again after the join (Runs.resume_runs); the second could meet the run's next call.

Now what was sent when notices were missed is marked (Open.unheard) until the executor tells of it again, and ends as what may have run: written off, counted as `executor.end_unheard`. A reply remembers the number of the link it went out on. Ruled out: a doubt after a broken link without missed notices, where no end after the stop does prove that there was no run.

--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -256,6 +256,40 @@
     assert rejoin(ends, msg.NoticesMissed()) == [("EXEC", calls[0])]
 
 
+@pytest.mark.parametrize("workload", ["file", "book"])
+def test_a_run_whose_end_was_missed_is_written_off_and_never_started_again(caller, workload):
+    """No end after the stop does not prove that it never ran: its end was among those that were missed."""
+    ends = Ends()
+    ends.core.rules = Rules(ends.settings, 1, ends.now)
+    number, call = ends.arrive(workload, caller, mark="m")
+    ends.gauge()
+    rejoin(ends, msg.NoticesMissed())
+    (delay, push, (doubt,)), = ends.later
+    assert ends.turn(doubt) == [("KILL", call)]
+    ends.gauge()
+    assert codes(caller) == [WRITTEN_OFF] and ends.counts["executor.end_unheard"] == 1
+    assert [m["t"] for m in ends.lines].count("EXEC") == 1 and not ends.core.open
+
+
+def test_where_work_cannot_be_stopped_a_doubt_ends_as_one_that_may_have_run(caller):
+    ends = Ends(halting=it.Halting.OFF)
+    number, call = ends.arrive("file", caller, do=[it.Start])
+    rejoin(ends)
+    ends.turn(msg.Told(it.Woken(0, None)), do=[it.WriteOff(number)])
+    ends.gauge()
+    assert ends.heard[-1] == it.Ended(number, it.Outcome.ERROR, 0.0) and not ends.core.open
+
+
+def test_one_that_asks_for_a_call_after_the_missed_notices_has_not_ended_among_them(caller):
+    ends = Ends()
+    number, call = ends.arrive("file", caller, do=[it.Start])
+    ends.gauge()
+    rejoin(ends, msg.NoticesMissed(), lines.CallWanted(9, call, b"ask"))
+    assert not ends.core.open[number].unheard
+    ends.turn(over(call, number=10))
+    assert codes(caller) == [DELIVERED]
+
+
 # ---- turns
 
 
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -58,7 +58,7 @@
         self.wakes, self.asked = [], 0.0
         self.runs, self.repeating = Runs(self), Repeating(self, bounds.results, kept)
         self.good, self.shallow, self.load, self.checks = False, True, None, {}
-        self.cold, self.warm_since = False, 0.0
+        self.cold, self.warm_since, self.stopped = False, 0.0, False
         self.leave, self.events, self.trace, self.reducing = None, [], None, reducing
         self.sharing = sharing
         self.takes, self.does = self.tables()
@@ -191,7 +191,8 @@
 
     def on_link_up(self, now, m):
         self.count("executor.joined")
-        if self.rules is None:
+        self.runs.links += 1
+        if self.rules is None and not self.stopped:
             self.log("welcome", {"cold": m.cold, "age": m.age, "told_cold": self.settings.cold})
             self.start_module(now, m.cold, m.age)
 
--- a/valeturn/routing/open.py
+++ b/valeturn/routing/open.py
@@ -41,6 +41,7 @@
         "since",
         "stream",
         "tenant",
+        "unheard",
         "w",
         "workload",
     )
@@ -52,6 +53,7 @@
         self.sent_mark, self.sent_at = 0, 0.0
         self.halting, self.halted = False, None  # asked to stop; the gauges' mark when that was sent
         self.probed = False  # told to stop only to find out whether it runs
+        self.unheard = False  # its end may be among missed notices: that none is told proves nothing
         self.notice, self.reply, self.attempt = None, None, 0  # the call: wanted, replied, its count
         self.repeats = None
         # In the store, where there is one: its key there, what a repeat met, whether its intent is durable,
@@ -67,3 +69,4 @@
     line: bytes
     instead: bytes | None  # what says the same and can't meet the run's next call
     sent: bool
+    link: int  # the number of the link it was sent on
--- a/valeturn/routing/runs.py
+++ b/valeturn/routing/runs.py
@@ -24,7 +24,7 @@
     def __init__(self, core):
         self.core = core
         self.gauges, self.gauged_at, self.mark, self.seen_mark = (), -1.0, 0, 0
-        self.asked_at = 0.0
+        self.asked_at, self.links = 0.0, 0  # links that have come up
 
     def ask_gauges(self, now):
         self.mark += 1
@@ -41,8 +41,8 @@
     def on_notices_missed(self, now, m):
         """An end may be among them."""
         for sub in self.core.open.values():
-            if sub.run in (SENT, REACHED):
-                sub.run = DOUBTED
+            if sub.run not in UNSENT:
+                sub.run, sub.unheard = DOUBTED, True
 
     def on_gauged(self, now, m):
         if m.mark == REPLAY_END:
@@ -61,21 +61,27 @@
             if sub.run == DOUBTED and (sub.answered or sub.probed) and self.surely_not_running(sub):
                 doubted.append(sub)
         for sub in doubted:
-            self.never_ran(sub)
+            self.doubt_over(sub)
 
     def surely_not_running(self, sub):
-        """The executor was told to stop it and has told of no end since, so there was no run. Where work
+        """The executor was told to stop it and has told of no end since, so there is no run. Where work
         can't be stopped, the caller's time being up has to do."""
         if self.core.settings.halting is it.Halting.OFF:
             return True
         return sub.halted is not None and sub.halted < self.seen_mark
 
-    def never_ran(self, sub):
-        """One that is owed its answer is the module's to start again."""
-        self.core.count("executor.never_ran")
-        sub.ran = False
-        self.core.repeating.never_began(sub)
-        self.run_over(sub, it.Outcome.CANCELLED, 0.0, None)
+    def doubt_over(self, sub):
+        """One that never ran, and is owed its answer, is the module's to start again. That there is no run
+        now does not prove that there was none where its end may have been missed, or nobody was asked."""
+        proved = not sub.unheard and self.core.settings.halting is not it.Halting.OFF
+        if proved or sub.w.effect is it.Effect.IDEMPOTENT:
+            self.core.count("executor.never_ran")
+            sub.ran = False
+            self.core.repeating.never_began(sub)
+            self.run_over(sub, it.Outcome.CANCELLED, 0.0, None)
+        else:
+            self.core.count("executor.end_unheard")
+            self.run_over(sub, it.Outcome.ERROR, 0.0, None)
 
     def resume_runs(self):
         """After a join, when all missed notices were read: sends again what may be sent again. What must not
@@ -88,8 +94,8 @@
                 self.core.count("executor.doubts")
                 wait = sub.sent_at + DOUBT_LEAST + DOUBT * (sub.hint or 0.0) - now
                 self.core.scheduler.call_later(wait, self.core.mailbox.push, msg.Doubt(sub.number))
-            if sub.reply is not None:
-                reply = sub.reply
+            if sub.reply is not None and not (sub.reply.sent and sub.reply.link == self.links):
+                reply = sub.reply  # one sent on this link is not sent twice: it could meet the next call
                 self.core.link.send(reply.instead if reply.sent and reply.instead else reply.line)
             if sub.halting:
                 self.send_halt(sub)
@@ -123,7 +129,7 @@
             self.core.repeating.table.remove(sub.number)
         self.core.ledger.give_up(sub.number)
         sub.run, sub.notice, sub.reply = IDLE, None, None
-        sub.halting, sub.halted, sub.probed = False, None, False
+        sub.halting, sub.halted, sub.probed, sub.unheard = False, None, False, False
         self.core.events.append(it.Ended(sub.number, outcome, took))
         if outcome is it.Outcome.DONE:
             self.core.answer(sub, "delivered", result)
@@ -141,6 +147,7 @@
                 self.end_orphan(m)
             return
         sub.run, sub.notice, sub.reply = REACHED, (m.number, m.body), None
+        sub.unheard = False
         sub.attempt += 1
         self.core.count("executor.calls_wanted")
         self.core.events.append(it.AtCall(sub.number))
@@ -172,7 +179,8 @@
         must not meet the run's next call: going on without this one names its notice and can't."""
         instead = lines.go_without(sub.call, sub.notice[0]) if sub.w.poorer_share > 0 else None
         sent = self.core.link.send(line)
-        sub.reply, sub.notice = Reply(self.mark, self.core.scheduler.clock(), line, instead, sent), None
+        sub.reply, sub.notice = Reply(
+            self.mark, self.core.scheduler.clock(), line, instead, sent, self.links), None
         sub.attempt += 1
 
     def on_not_carried_out(self, now, m):
