An arrival that fails half way is answered once and left nowhere; deep checks out have a bound

Seen in the code, forced by tests: a fault in Core.on_arrival after the submission was noted down turned it back but left it among the open ones, to be answered a second time at its due time or at the stop. Deep health checks that are out at once were kept without a bound, each with a timer. At fault: Core.carry and Core.on_check (routing/core.py). Now the half-noted one is dropped and the module hears that it has gone; past 64 checks out (a large fleet's gateways in a second) the setting answers.

--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -22,6 +22,7 @@
 GAUGES_AHEAD = 0.005  # s before a wake-up that its gauges are asked for: the answer took 0.3 ms, 1 at most
 GAUGES_LAST = 0.3  # s that gauges count as the moment's: three sweeps, so that one late answer is bridged
 CHECK_PATIENCE = 1.0  # s for a deep check: what takes longer is no good server either
+CHECKS = 64  # deep checks out at once: a large fleet's gateways in one second; past it the setting answers
 
 # What a front's connection is asked for, by the name that an answer is counted under.
 ANSWERS = {"delivered": "deliver", "turned_back": "turn_back", "written_off": "write_off",
@@ -130,7 +131,17 @@
             self.count("errors.core")
             self.log("core_fault", {"item": type(item).__name__}, fault=error)
             if isinstance(item, msg.Arrival):
-                item.connection.turn_back(item.submission.stream, self.load)
+                self.arrival_failed(item.connection, item.submission.stream)
+
+    def arrival_failed(self, connection, stream):
+        """It never ran; one that was let in half way is not left behind, to be answered again."""
+        sub = self.by_stream.get((connection, stream))
+        if sub is None:
+            connection.turn_back(stream, self.load)
+        else:
+            self.events.append(it.Gone(sub.number))
+            self.answer(sub, "turned_back")
+            self.drop(sub)
 
     def meet_wakes(self, now):
         if self.wakes and self.asked < self.wakes[0][0] <= now + GAUGES_AHEAD:
@@ -244,7 +255,8 @@
                 self.drop(sub)
 
     def on_check(self, now, m):
-        if self.shallow or not m.deep or self.rules is None or not self.good:
+        full = len(self.checks) >= CHECKS
+        if self.shallow or not m.deep or self.rules is None or not self.good or full:
             self.answer_check(m.connection, m.stream, self.good)
             return
         self.runs.mark += 1
