One orderly way to close: what is read meanwhile is answered, answers go out, then a lingering close

Seen in the code, forced by tests on loopback sockets (each crossing put in its place by a seam, a small buffer or SO_LINGER): 1. A connection that was evicted, or asked to close for idleness, was closed with bytes unread: the close is a reset, which destroys answers under way, and a submission that had come in that moment was lost (Connection.end, Gateways.make_room). 2. Frames behind one that ends the connection were dropped: read, never answered (Connection.run). 3. Who shut its own side alone lost what waited unsent in our buffer and got no answer to what was open. 4. A fault of ours with one frame ended the connection without its answers. 5. Who writes faster than we read kept all others from their turn, also during the lingering close, which had no bound in bytes.

Now: Connection.close writes off what is open, interrupts the one who reads, and the connection's own task ends it by Stream.lingering_close: what came is turned back (it never ran) until nothing is there and nothing unsent, then the shutdown in the same turn, then bytes are read and dropped up to 1 MB, the end or the time. Only a broken socket and one that reads too slowly end otherwise.

A test of "the connection goes on" now has a peer that stays: one that closes is told what is open, which the old one counted as more. One of an error that ends a connection expects an answer for the frame behind it, where it expected none.

--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -10,7 +10,7 @@
 from valeturn.protocol.frames import FrameDecoder
 from valeturn.routing import messages as msg
 from valeturn.routing.executor import ExecutorLink
-from valeturn.routing.gateways import Gateways
+from valeturn.routing.gateways import CROSSING, GAPS, Gateways
 from valeturn.routing.ledger import Ledger
 from valeturn.routing.naming import Reporter
 from valeturn.transport.chance import Backoff, Chance
@@ -434,9 +434,12 @@
     def write(self, data):
         self.data += data
 
-    def finish(self, patience):
+    def lingering_close(self, timeout, last=None):
         self.closed = True
 
+    def interrupt(self):
+        pass
+
     def close(self):
         self.closed = True
 
@@ -477,9 +480,11 @@
     (submission(7, org="nobody"), 7), (submission(7, org=None), 7),
     (submission(7, recv="99999999999999"), 7)])
 def test_a_bad_submission_gets_a_true_answer_and_the_connection_goes_on(scheduler, bad, stream):
-    made, put = connection(scheduler, bad + submission(8))
+    first, put = connection(scheduler)
+    made = staying(scheduler, bad + submission(8), gateways=first.gateways)
     settle(scheduler)
-    assert made.stream.data == frame(8, stream, b"\x00\x00") and isinstance(put[0], msg.Arrival)
+    assert made.stream.data == frame(8, stream, b"\x00\x00") and made.open == {8} and not made.stream.closed
+    assert [type(m) for m in put] == [msg.Arrival]
 
 
 def test_a_connection_that_sends_nothing_but_faults_is_closed(scheduler):
@@ -506,11 +511,15 @@
     assert len(made.open) == 32 and 34 in made.open
 
 
-@pytest.mark.parametrize("bad", [submission(1), frame(5, 1), b"\x00\x00\x00\x00", frame(7, 2, b"\x05")])
-def test_an_error_ends_the_connection_at_once_and_what_is_open_is_written_off(scheduler, bad):
+@pytest.mark.parametrize("bad, behind", [
+    (submission(1), frame(8, 9, b"\x00\x00")), (frame(5, 1), b""), (b"\x00\x00\x00\x00", b""),
+    (frame(7, 2, b"\x05"), b"")])
+def test_an_error_ends_the_connection_at_once_and_what_is_open_is_written_off(scheduler, bad, behind):
+    """What can be read behind it never ran, and is told so."""
     made, put = connection(scheduler, submission(1) + bad + submission(9))
     settle(scheduler)
-    assert made.stream.data == frame(8, 1, b"\x09\x00") + frame(8, 0, b"\x09\x00") and made.stream.closed
+    ends = frame(8, 1, b"\x09\x00") + frame(8, 0, b"\x09\x00")
+    assert made.stream.data == ends + behind and made.stream.closed
     assert [type(m) for m in put] == [msg.Arrival, msg.ConnectionEnded] and put[1].streams == {1}
     made.deliver(1, None, b"late")
     assert b"late" not in made.stream.data
@@ -520,7 +529,16 @@
     """One that neither sends more nor closes."""
 
     def read(self, timeout=None):
-        return self.reads.pop(0) if self.reads else self.scheduler.park() or Trouble.TIMED_OUT
+        if self.reads:
+            return self.reads.pop(0)
+        self.reader = self.scheduler.current()
+        return self.scheduler.park() or Trouble.TIMED_OUT
+
+    reader = None
+
+    def interrupt(self):
+        if self.reader is not None:
+            self.scheduler.wake(self.reader)
 
 
 def staying(scheduler, *reads, gateways=None):
@@ -560,12 +578,18 @@
         scheduler.sleep(0.01)
         for one in (used, old, asked, silent):
             one.idle_since = scheduler.clock()
-        assert not gateways.make_room(), "all are too young"
+        assert not gateways.evict() and not any(one.closing for one in (used, old, asked, silent)), "young"
         for age, one in ((5.0, used), (4.0, old), (3.0, asked), (1.0, silent)):
             one.idle_since -= age
         for one in (silent, old, asked):
-            assert gateways.make_room() and one.stream.closed and one.stream.data.endswith(frame(3, 0))
-        assert not gateways.make_room() and not used.stream.closed
+            assert not gateways.evict(), "its place comes free once it is closed"
+            assert one.closing and one.linger == CROSSING and one.stream.data.endswith(frame(3, 0))
+            scheduler.pause()
+            scheduler.pause()
+            assert one.stream.closed and one not in gateways.connections
+        gateways.evict()
+        scheduler.sleep(0.01)
+        assert not used.stream.closed and not used.closing
 
     run(scheduler, test)
 
@@ -574,7 +598,7 @@
     made, _ = connection(scheduler)
     assert all(made.is_new(n) for n in (2, 1, 5, 3)) and not any(made.is_new(n) for n in (1, 2, 3, 5))
     assert made.used_up_to == 3 and made.used == {5}
-    assert all(made.is_new(n) for n in range(10, 30000, 2)) and len(made.used) <= 4096 + 1
+    assert all(made.is_new(n) for n in range(10, 30000, 2)) and len(made.used) <= GAPS + 1
 
 
 def test_the_slowest_readers_go_when_all_together_hold_too_much(scheduler):
@@ -589,7 +613,7 @@
 def test_unused_connections_are_asked_to_close_and_open_ones_are_not(scheduler):
     made, _ = connection(scheduler)
     gateways, made.waits_since = made.gateways, None
-    gateways.idle_after, made.idle_since = 0.1, scheduler.clock() - 0.2
+    gateways.idle_timeout, made.idle_since = 0.1, scheduler.clock() - 0.2
     made.open = {1}
     gateways.sweep()
     assert not made.stream.data
@@ -598,6 +622,8 @@
     assert made.stream.data == frame(3, 0) and not made.stream.closed
     made.close_at -= 2.0
     gateways.sweep()
+    assert made.closing
+    settle(scheduler)
     assert made.stream.closed
 
 
--- a/valeturn/control/server.py
+++ b/valeturn/control/server.py
@@ -88,7 +88,7 @@
                     stream.write(requests.refused(request.why) if bad else self.answer(request))
         finally:
             self.clients -= 1
-            stream.finish(0.2)
+            stream.lingering_close(0.2)
 
     def close(self):
         self.scheduler.closing(self.sock.fileno())
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -96,7 +96,7 @@
         Signals(scheduler, {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGHUP: self.reload,
                             signal.SIGUSR1: lambda: self.counters.print(self.log, scheduler, self.beliefs())})
         self.gateways.listener = Listener(scheduler, c.listen, self.bounds.connections, self.gateways.accept,
-                                          self.gateways.make_room)
+                                          self.gateways.evict)
         self.log("listening", {"address": f"{c.listen[0]}:{c.listen[1]}", **self.bounds._asdict()})
         scheduler.spawn(self.core.run, name="core", late=True)
         scheduler.spawn(self.sweep, name="sweep")
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -343,7 +343,7 @@
         self.load = a.value
 
     def do_close_idle(self, now, a):
-        self.gateways.idle_after = a.after
+        self.gateways.idle_timeout = a.after
 
     def do_wake(self, now, a):
         heapq.heappush(self.wakes, (now + a.after, a.mark))
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -9,6 +9,9 @@
 from .scheduler import READ, WRITE
 
 CHUNK = 65536  # a read takes a burst of submissions whole: they are some hundred bytes each
+READS = 8  # in a row that find bytes; then others get their turn, as who writes faster never makes us wait
+LINGER = 1 << 20  # bytes read and dropped after the shutdown: some times what fits into a sender's buffer
+FLUSH = 0.005  # s between looks whether all is sent
 CONNECTING = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 UNDER_WAY = (errno.EALREADY, *CONNECTING)
 MADE = (0, errno.EISCONN)
@@ -33,21 +36,41 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.scheduler, self.sock, self.most_unsent = scheduler, sock, most_unsent
         self.unsent, self.writer, self.trouble = bytearray(), None, None
+        self.reads = 0  # in a row that found bytes
 
     def read(self, timeout=None):
-        """Bytes as soon as there are some, or a Trouble."""
+        """Bytes as soon as there are some, or a Trouble. A wait that is interrupted counts as one that is
+        over."""
         while self.trouble is None:
-            try:
-                data = self.sock.recv(CHUNK)
-                return data or Trouble.CLOSED
-            except BlockingIOError:
-                pass
-            except OSError:
-                return Trouble.RESET
+            if self.reads >= READS:
+                self.reads = 0
+                self.scheduler.pause()
+                continue
+            got = self.take()
+            if got is not None:
+                self.reads += 1
+                return got
+            self.reads = 0
             if not self.scheduler.wait_fd(self.sock.fileno(), READ, timeout):
                 return self.trouble or Trouble.TIMED_OUT
         return self.trouble
 
+    def take(self):
+        """What is there at this moment: bytes, a Trouble, or None where nothing is."""
+        if self.trouble is not None:
+            return self.trouble
+        try:
+            return self.sock.recv(CHUNK) or Trouble.CLOSED
+        except BlockingIOError:
+            return None
+        except OSError:
+            return Trouble.RESET
+
+    def interrupt(self):
+        """Ends a wait for something to read."""
+        if self.trouble is None:
+            self.scheduler.interrupt(self.sock.fileno(), READ)
+
     def write(self, data):
         """Sends what the socket takes and keeps the rest for a task of its own. False once it is broken or
         more waits than may: the reader at the other end is too slow to be served."""
@@ -79,19 +102,37 @@
                 del self.unsent[:self._send(self.unsent)]
         self.writer = None
 
-    def finish(self, patience):
-        """Ends so that the other side can read all that was written: to close with bytes unread breaks it."""
-        until = self.scheduler.clock() + patience
+    def flush(self, until):
+        """Waits until all that was written has been sent, at the latest to that moment."""
         while self.unsent and self.trouble is None and self.scheduler.clock() < until:
-            self.scheduler.sleep(0.01)
-        if self.trouble is None:
+            self.scheduler.sleep(FLUSH)
+
+    def lingering_close(self, timeout, last=None):
+        """Ends so that the other side can read all that was written; takes `timeout` at the most.
+
+        A close with bytes unread resets the connection, which destroys answers under way. So: what has come
+        goes to `last`, which may still answer it, until nothing is there and nothing unsent; then the
+        shutdown, in the same turn; then what comes is read and dropped until the other side closes."""
+        until, left = self.scheduler.clock() + timeout, LINGER
+        while True:
+            self.flush(until)
+            got = self.take()
+            if not isinstance(got, bytes) or left <= 0:
+                break
+            left -= len(got)
+            if last is not None:
+                last(got)
+        if self.trouble is None and got is not Trouble.RESET:
             try:
                 self.sock.shutdown(socket.SHUT_WR)
             except OSError:
                 pass
-            while isinstance(self.read(max(0.0, until - self.scheduler.clock())), bytes) and (
-                    self.scheduler.clock() < until):
-                self.scheduler.pause()
+            left = LINGER
+            while got is not Trouble.CLOSED and left > 0 and (now := self.scheduler.clock()) < until:
+                got = self.read(until - now)
+                if not isinstance(got, bytes):
+                    break
+                left -= len(got)
         self.close()
 
     def close(self, why=Trouble.SHUT):
