Start, notice, grace, listener, exit: no notice is lost, nothing is owed at the stop, no reload in its way

A notice that came while the program was loaded or its configuration read ended the process by the signal: a crash, where an orderly end was asked. Signals are held from the first line of __main__ on (transport/held.py) and met once the server listens. 2. A stop sooner than the grace or than both margins (0.15 s each): the grace was negative, or what was owed was answered after the stop. The margin is a quarter of the time from the notice to the stop at the most. 3. What the module had not answered by the margin was lost at the exit. `Stopping` settles it as truthfully as is known, and nothing is let in after; connections are closed orderly and not by the end of the process. 4. A fault in the drain left a process that is killed at the stop. A timer ends it before, whatever comes. 5. A reload that reads an operator's file stood in the way of a notice; two signals in a row read the file twice at once. 6. The address still held by a process that has just gone ended the start with code 2. An idle drain took steps of 20 ms where nothing was owed; 10 now. The link is also looked at while the module is not asked.

--- a/valeturn/__main__.py
+++ b/valeturn/__main__.py
@@ -1,7 +1,13 @@
 """The real server: `python -m valeturn` serves; `python -m valeturn --help` tells what else there is."""
 
+import signal
 import sys
 
-from .program.commands import main
+from .transport import held
+
+if sys.argv[1:2] in ([], ["serve"]):  # a notice may come while the rest is loaded
+    held.hold(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+from .program.commands import main  # noqa: E402
 
 sys.exit(main(sys.argv[1:]))
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -107,7 +107,7 @@
 import sys
 
 from .. import __version__
-from ..transport import signals
+from ..transport import held
 from . import configuration, logs
 
 PACKAGE = __name__.partition(".")[0]
@@ -135,9 +135,9 @@
 
 def serve(path=None, verbose=False, settings=None, seams=None):
     """seams: a laboratory's."""
-    from .server import Server
+    held.hold(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    from .server import Ended, Server
 
-    signals.hold(signal.SIGHUP)  # one that comes before the server listens for it must not end the process
     c = configuration.load(path=path)
     options = operators_file(settings, c)
 
@@ -151,6 +151,8 @@
         if server.again:
             os.execv(sys.executable, sys.orig_argv)
         return code
+    except Ended:
+        return 0
     except OSError as error:  # the address to listen on is taken or not this machine's
         print(f"valeturn: listen: {error}", file=sys.stderr)
     return 2
--- a/valeturn/program/server.py
+++ b/valeturn/program/server.py
@@ -5,18 +5,20 @@
 import gc
 import resource
 import signal
+import time
 
 from .. import __version__
 from ..routing.core import Core, Parties, Telling
 from ..routing.executor import ExecutorLink
-from ..routing.gateways import Gateways
+from ..routing.gateways import CLOSING, Gateways
 from ..routing.ledger import Ledger
-from ..routing.messages import Leaving
+from ..routing.messages import Leaving, Stopping
 from ..routing.naming import Reporter
 from ..routing.pace import Pace
 from ..rules import Rules
+from ..transport import held
 from ..transport.chance import Chance
-from ..transport.listener import Listener
+from ..transport.listener import Listener, listening
 from ..transport.scheduler import Scheduler
 from ..transport.signals import Signals
 from ..transport.streams import Stream
@@ -27,13 +29,18 @@
 
 GARBAGE = 5000  # objects between looks for cycles, which few things here leave: some hundred KB at the most
 PRINT = 10.0  # s between prints of the counters: a server that is killed outright leaves its last ones
-MARGIN = 0.15  # s before the stop at which the process ends itself: the last answers are out by then
+MARGIN = 0.15  # s before the stop at which all is answered: the last answers are out by then
+MARGIN_SHARE = 0.25  # of the time from the notice to the stop that it takes at the most, where that is short
 LOOK = 0.05  # s between looks at all connections: half of the shortest patience with one
-STEP = 0.02  # s between looks while draining
+STEP = 0.01  # s between looks while draining
 LIBRARIES_MB = 3  # that an operator's file takes: what keeps its values, and the store's libraries
 PATIENCE = 10.0  # s for the process that reads the operator's file: it takes a tenth of one
 
 
+class Ended(Exception):
+    """Told to leave before it listened."""
+
+
 class Server:
     def __init__(self, configuration, log, verbose=False, reload=None, options=None, seams=None):
         """`reload` reads the configuration and the operator's file anew, or raises what is wrong with them;
@@ -47,7 +54,8 @@
         chance = Chance(c.seed)
         put = lambda message: self.core.put(message)  # noqa: E731
         self.link = ExecutorLink(scheduler, c.executor, chance, put, count)
-        sockets = min(c.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        sockets = c.sockets if most == resource.RLIM_INFINITY else min(c.sockets, most)
         self.options, self.seams = options, seams or Seams()
         taken = 0.0 if options is None else LIBRARIES_MB + sum(
             getattr(built, "memory", 0) / 1e6 for built in options.sections.values())
@@ -64,6 +72,8 @@
                          getattr(self.parts.get("duty"), "sharing", None))
         self.core.trace = log if verbose else None
         self.leave_at = self.stop_at = None
+        self.margin = min(MARGIN, MARGIN_SHARE * c.stop)
+        self.reloading = self.wants_reload = False
         self.came = scheduler.clock()
 
     def open_parts(self):
@@ -93,14 +103,17 @@
 
     def serve(self):
         c, scheduler = self.configuration, self.scheduler
-        Signals(scheduler, {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGHUP: self.reload,
-                            signal.SIGUSR1: lambda: self.counters.print(self.log, scheduler, self.beliefs())})
-        self.gateways.listener = Listener(scheduler, c.listen, self.bounds.connections, self.gateways.accept,
-                                          self.gateways.evict)
+        sock = listening(c.listen, self.wait_for_address, scheduler.clock)  # signals are held until then
+        Signals(scheduler, {
+            signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGHUP: self.reload_apart,
+            signal.SIGUSR1: lambda: self.counters.print(self.log, scheduler, self.beliefs())})
+        self.gateways.listener = Listener(
+            scheduler, c.listen, self.bounds.connections, self.gateways.accept, self.gateways.evict,
+            sock)
         self.log("listening", {"address": f"{c.listen[0]}:{c.listen[1]}", **self.bounds._asdict()})
         scheduler.spawn(self.core.run, name="core", late=True)
-        scheduler.spawn(self.sweep, name="sweep")
-        scheduler.spawn(self.print_counters, name="counters")
+        scheduler.spawn_lasting(self.sweep, name="sweep")
+        scheduler.spawn_lasting(self.print_counters, name="counters")
         for part in self.parts.values():
             part.start()
         gc.collect()
@@ -111,6 +124,14 @@
         self.log("ended", {"clean": not self.failed})
         return 1 if self.failed else 0
 
+    def wait_for_address(self, seconds):
+        """A process that has just gone may still hold it. A notice to leave ends the wait and the server:
+        nobody was ever let in."""
+        if held.leaving():
+            raise Ended
+        self.log("address_in_use", {"address": "%s:%d" % self.configuration.listen})
+        time.sleep(seconds)
+
     def status(self):
         """What an operator is told of this server at the moment."""
         groups, now = self.counters.groups(), self.scheduler.clock()
@@ -122,6 +143,7 @@
     def sweep(self):
         while True:
             self.gateways.sweep()
+            self.link.check()
             self.scheduler.sleep(LOOK)
 
     def print_counters(self):
@@ -142,13 +164,31 @@
                 **{key: value for part in self.parts.values() for key, value in part.beliefs().items()}}
 
     def leave(self):
-        for part in self.parts.values():
-            part.leaving()
         if self.leave_at is None:
             self.leave_at = self.scheduler.clock()
             self.stop_at = self.leave_at + self.configuration.stop
             self.log("leaving", {"stop_in": self.configuration.stop})
+            # Whatever comes in between: a process that is still there at the stop is killed, which is worse.
+            self.scheduler.call_later(self.configuration.stop - self.margin / 4, self.scheduler.stop)
             self.scheduler.spawn(self.drain, name="drain")
+        for part in self.parts.values():
+            part.leaving()
+
+    def reload_apart(self):
+        """In a task of its own: an operator's file is read by a process beside, and a notice to leave is
+        heard meanwhile. Two in a row are one: the file is read after the last."""
+        self.wants_reload = True
+        if not self.reloading:
+            self.reloading = True
+            self.scheduler.spawn(self.reload_all, name="reload")
+
+    def reload_all(self):
+        try:
+            while self.wants_reload:
+                self.wants_reload = False
+                self.reload()
+        finally:
+            self.reloading = False
 
     def reload(self):
         """Takes the addresses of other parties from the file; what else changed in it waits for a restart. A
@@ -192,23 +232,28 @@
         return b"".join(parts)
 
     def drain(self):
-        """Serves on through the grace, then takes nothing new; ends when all is answered and all gateways
-        have closed, so that nothing on its way is cut off, or shortly before the stop."""
-        now = self.scheduler.clock
-        self.core.put(Leaving(self.stop_at - MARGIN - now()))  # the module must be done before the process is
-        grace = min(self.configuration.names.settings.drain_grace, self.configuration.stop - 2 * MARGIN)
+        """Graceful: serves on through the grace, then takes nothing new; ends when all is answered and all
+        gateways have closed, so that nothing on its way is cut off, or shortly before the stop."""
+        now, margin = self.scheduler.clock, self.margin
+        last = self.stop_at - margin
+        self.core.put(Leaving(last - now()))  # the module must be done before the process is
+        grace = max(0.0, min(self.configuration.names.settings.drain_grace,
+                             self.configuration.stop - 2 * margin))
         self.scheduler.sleep(self.leave_at + grace - now())
-        self.gateways.listener.close()
-        self.gateways.ask_all_to_close()
-        while now() < self.stop_at - MARGIN:
-            if not self.gateways.connections and not self.core.owed():
-                break
-            self.scheduler.sleep(STEP)
+        self.gateways.ask_all_to_close(min(CLOSING, max(0.0, 0.5 * (last - now()))))
+        self.gateways.listener.drain(last)
+        while now() < last and (self.gateways.connections or self.core.owed()):
+            self.scheduler.sleep(min(STEP, last - now()))
+        self.core.put(Stopping())
+        while self.core.owed() and now() < last + margin / 4:
+            self.scheduler.pause()
+        self.gateways.close_all(margin / 2)
+        while self.gateways.connections and now() < last + margin / 2:
+            self.scheduler.sleep(min(STEP, margin / 8))
         for part in self.parts.values():
             part.drained()
         self.log("drained", {"connections": len(self.gateways.connections), "owed": self.core.owed(),
                              "took": now() - self.leave_at})
         self.scheduler.stop()
         for part in self.parts.values():
-            part.close(max(0.01, self.stop_at - MARGIN / 2 - now()))
-
+            part.close(max(0.01, self.stop_at - margin / 2 - now()))
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -171,6 +171,15 @@
         """Answers what is owed as truthfully as is known, and goes on with a module that knows nothing."""
         self.log("module_failed", fault=error)
         self.count("core.module_failed")
+        self.settle_all()
+        self.rules, self.good = None, False
+        try:
+            self.start_module(now, False, 0.0)
+        except Exception as again:  # without a module all is turned back and health is not good
+            self.log("module_failed", fault=again)
+
+    def settle_all(self):
+        """The one final answer for each that is owed one, as truthful as is known."""
         for sub in list(self.open.values()):
             if not sub.ran and sub.w.effect is not it.Effect.DEDUPLICATED:
                 self.answer(sub, "turned_back")
@@ -180,11 +189,14 @@
             if sub.run not in UNSENT and self.settings.halting is not it.Halting.OFF:
                 self.link.send(lines.halt(sub.call))
             self.drop(sub)
-        self.rules, self.good = None, False
-        try:
-            self.start_module(now, False, 0.0)
-        except Exception as again:  # without a module all is turned back and health is not good
-            self.log("module_failed", fault=again)
+
+    def on_stopping(self, now, m):
+        """The process ends in a moment. The module has answered all by now, unless the time from the notice
+        to the stop is shorter than it looks around; from here on nothing is let in."""
+        if self.owed():
+            self.count("core.settled_at_stop", self.owed())
+        self.settle_all()
+        self.rules, self.good, self.wakes, self.stopped = None, False, [], True
 
     def start_module(self, now, cold, age):
         """A notice to leave that came before is told as of then: the grace counts from the notice."""
@@ -360,6 +372,7 @@
             msg.Doubt: runs.on_doubt, msg.Arrival: self.on_arrival, msg.Withdrawal: self.on_withdrawal,
             msg.ConnectionEnded: self.on_connection_ended, msg.Check: self.on_check,
             msg.CallOver: runs.on_call_over, msg.Told: self.on_told, msg.Leaving: self.on_leaving,
+            msg.Stopping: self.on_stopping,
             msg.DiskNews: repeating.on_disk_news, lines.RunOver: runs.on_run_over,
             lines.CallWanted: runs.on_call_wanted, lines.Gauged: runs.on_gauged,
             lines.Diagnosed: self.on_diagnosed, lines.NotCarriedOut: runs.on_not_carried_out,
--- a/valeturn/routing/messages.py
+++ b/valeturn/routing/messages.py
@@ -68,3 +68,7 @@
 
 class Leaving(NamedTuple):
     left: float
+
+
+class Stopping(NamedTuple):
+    """All that is still owed gets its answer now."""
--- a/valeturn/transport/signals.py
+++ b/valeturn/transport/signals.py
@@ -5,17 +5,10 @@
 import os
 import signal
 
+from .held import HELD
 from .scheduler import READ
 
 
-HELD = []  # numbers that came before a Signals took over
-
-
-def hold(number):
-    """Keeps a signal for the Signals to come."""
-    signal.signal(number, lambda number, _: HELD.append(number))
-
-
 class Signals:
     def __init__(self, scheduler, actions):
         """actions: signal number -> function, called in a task."""
@@ -27,7 +20,7 @@
         signal.set_wakeup_fd(other, warn_on_full_buffer=False)
         for number in actions:
             signal.signal(number, lambda *_: None)
-        scheduler.spawn(self.run, name="signals")
+        scheduler.spawn_lasting(self.run, name="signals")
         for number in HELD:
             signal.raise_signal(number)
         HELD.clear()
