Settings of any customer start and decide, or end the start in one line that names the key

At fault: settings.py took values as they came; configuration._check refused what can be decided with.

Now `settings.Section` reads each value and names its key: from 0 to 1e15, texts where texts are wanted. No calls allowed is a share of next to none, no share told 1e9 calls at a time (infinity times no time is no number). One figure in the module: six tenths of what a small cold server survives may be less than one run, so that it never started any; one run at a time is survived by all, as there is a core for it (Rules.crowd).

--- a/valeturn/program/configuration.py
+++ b/valeturn/program/configuration.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 import os
 from typing import NamedTuple
 
@@ -34,15 +33,15 @@
 def _address(raw, field):
     text = raw.get(field)
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    good = colon and host and port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536
+    if not good:
         raise Wrong(f"{field}: wants HOST:PORT, has {text!r}")
     return host, int(port)
 
 
 def _number(table, field, least, most, absent=None, prefix=""):
     value = table.get(field, absent)
-    good = isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value)
-    if not good or not least <= value <= most:
+    if type(value) not in (int, float) or not least <= value <= most:
         raise Wrong(f"{prefix}{field}: wants a number from {least} to {most}, has {value!r}")
     return value
 
@@ -54,7 +53,8 @@
     told = {"name": environment.get("EDGE_NAME"), "listen": environment.get("EDGE_LISTEN")}
     raw = {**raw, **{field: value for field, value in told.items() if value}}
     name = raw.get("name")
-    if not isinstance(name, str) or not name or not all(c.isalnum() or c in "-_." for c in name):
+    if not isinstance(name, str) or not name.isascii() or not name or not all(
+            c.isalnum() or c in "-_." for c in name):
         raise Wrong(f"name: wants letters, digits, '-', '_' or '.', has {name!r}")
     try:
         seed = int(raw.get("seed"), 16)
@@ -69,7 +69,9 @@
         raise Wrong("settings.request_classes: wants a list with at least one entry")
     try:
         names = Names(settings)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except ValueError as error:
+        raise Wrong(f"settings.{error}") from None
+    except (KeyError, TypeError, AttributeError, ArithmeticError) as error:
         raise Wrong(f"settings: {type(error).__name__}: {error}") from None
     _check(names.settings)
     return Configuration(
@@ -81,23 +83,20 @@
 
 
 def _check(s):
-    """What the module divides by or waits for must make sense; the rest it takes as it comes."""
+    """What the module can't decide with; the rest it takes as it comes, small and zero too."""
     for field, value, least in (
-            ("servers", s.servers, 1), ("domain.cpus", s.cores, 1), ("domain.heap_kb", s.memory, 1),
-            ("domain.run_mem_factor", s.run_memory_factor, 1), ("domain.key_kb", s.key_memory, 0),
-            ("domain.calls_out", s.calls_share, 0), ("domain.calls_over_ms", s.calls_window, 0),
-            ("domain.linger_ms", s.call_linger, 0), ("domain.fresh_ms", s.fresh_for, 0),
-            ("rules.overload_factor", s.crowd_factor, 1), ("rules.cold_ms", s.cold_time, 0),
-            ("rules.start_capacity", s.cold_speed, 0), ("rules.drain_grace_ms", s.drain_grace, 0),
-            ("rules.grace_to_answer_ms", s.answer_slack, 0), ("tick_ms", s.tick, 0)):
-        if not isinstance(value, (int, float)) or not value >= least:
+            ("domain.cpus", s.cores, 1), ("rules.overload_factor", s.crowd_factor, 1)):
+        if not value >= least:
             raise Wrong(f"settings.{field}: wants a number of at least {least}, has {value!r}")
     for index, w in enumerate(s.workloads):
         where = f"settings.request_classes[{index}]"
         if not isinstance(w.name, str) or not w.name or w.name in [one.name for one in s.workloads[:index]]:
             raise Wrong(f"{where}.name: wants a name of its own, has {w.name!r}")
-        if not 0 < w.latency_goal <= w.cut_off:
-            raise Wrong(f"{where}.goal_time_ms: wants more than 0 and no more than give_up_ms")
+        if not w.latency_goal > 0:
+            raise Wrong(f"{where}.goal_time_ms: wants more than 0, as give_up_ms does")
+    for index, tenant in enumerate(s.tenants):
+        if not isinstance(tenant.name, str) or tenant.name in [one.name for one in s.tenants[:index]]:
+            raise Wrong(f"settings.tenants[{index}].name: wants a name of its own, has {tenant.name!r}")
 
 
 def load(environment=os.environ, path=None):
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -481,7 +481,8 @@
         return len([sub for sub in self.live.values() if sub.state in ON_CORES])
 
     def crowd(self):
-        return CROWD * self.s.cores * (1 + (self.s.crowd_factor - 1) * self.cold_share())
+        """One run at a time is survived by any server, as there is a core for it: small ones would stand."""
+        return max(1.0, CROWD * self.s.cores * (1 + (self.s.crowd_factor - 1) * self.cold_share()))
 
     def order(self):
         """The design's two modes: arrival order, or least expected remaining cost first."""
--- a/valeturn/settings.py
+++ b/valeturn/settings.py
@@ -10,78 +10,113 @@
 GAUGES = {"cpu_busy": "busy", "runnable": "runnable", "mem_used": "memory", "sockets": "connections"}
 
 
-def _get(table, key, absent):
-    value = table.get(key)
-    return absent if value is None else value
+LARGEST = 1e15  # of any number: what is larger no page means, and arithmetic with it ends in infinities
+UNBOUNDED = 1e9  # calls at a time where no share is told; finite, as infinity times no time is no number
+LEAST_SHARE = 1e-9  # of calls at a time, where none is allowed: what is divided by it is for ever
 
 
-def _seconds(table, key, absent=0.0):
-    value = table.get(key)
-    return absent if value is None else value / 1000.0
+class Section:
+    """A part of the settings, whose values are what all who count with them can bear: a text or a NaN would
+    fail in a decision, at the first submission, and not here. Raises ValueError, which names the key."""
 
+    def __init__(self, table, where=""):
+        if not isinstance(table, dict):
+            raise ValueError(f"{where.rstrip('.') or 'settings'}: wants an object, has {table!r}")
+        self.table, self.where = table, where
 
-def _per_workload(domain, key, index, absent):
-    values = domain.get(key) or ()
-    return values[index] if index < len(values) and values[index] is not None else absent
+    def get(self, key, absent=None):
+        value = self.table.get(key)
+        return absent if value is None else value
+
+    def section(self, key):
+        return Section(self.get(key, {}), f"{self.where}{key}.")
+
+    def sections(self, key):
+        return [Section(one, f"{self.where}{key}[{index}].") for index, one in enumerate(self.list(key))]
+
+    def list(self, key):
+        value = self.get(key, ())
+        if not isinstance(value, (list, tuple)):
+            raise ValueError(f"{self.where}{key}: wants a list, has {value!r}")
+        return value
+
+    def number(self, key, absent):
+        value = self.get(key)
+        return absent if value is None else self.counted(key, value)
+
+    def counted(self, key, value):
+        if type(value) not in (int, float) or not 0 <= value <= LARGEST:
+            raise ValueError(f"{self.where}{key}: wants a number of at least 0, has {value!r}")
+        return value
+
+    def seconds(self, key, absent=0.0):
+        value = self.number(key, None)
+        return absent if value is None else value / 1000.0
+
+    def at(self, key, index, absent):
+        """The entry of a list that has one for each workload, and may be short."""
+        values = self.list(key)
+        return values[index] if index < len(values) and values[index] is not None else absent
 
 
 class Names:
     """One server's settings, and the names that its fronts meet, mapped to small indices."""
 
     def __init__(self, profile):
-        domain = _get(profile, "domain", {})
-        rules = _get(profile, "rules", {})
-        allowed = _get(profile, "allowed", {})
+        profile = Section(profile)
+        domain, rules, allowed = [profile.section(key) for key in ("domain", "rules", "allowed")]
         self.workloads = {}
         workloads = []
-        for index, c in enumerate(_get(profile, "request_classes", ())):
-            self.workloads[c["name"]] = index
-            cut_off = _seconds(c, "give_up_ms", 60.0)
+        for index, c in enumerate(profile.sections("request_classes")):
+            self.workloads[c.table["name"]] = index
+            cut_off = c.seconds("give_up_ms", 60.0)
             workloads.append(
                 it.Workload(
-                    name=c["name"],
+                    name=c.table["name"],
                     effect=EFFECTS.get(c.get("semantics"), it.Effect.UNREPEATABLE),
-                    latency_goal=_seconds(c, "goal_time_ms", cut_off),
+                    # Nobody waits for a goal that lies behind the cut-off.
+                    latency_goal=min(cut_off, c.seconds("goal_time_ms", cut_off)),
                     cut_off=cut_off,
-                    revenue=_get(c, "worth", 1.0),
-                    late_share=_get(c, "late_share", 0.0),
-                    goal_stretch=_get(c, "aim_stretch", 0.0),
-                    window=_seconds(c, "window_ms"),
-                    calls=bool(_per_workload(domain, "calls_by_class", index, False)),
-                    poorer_share=_per_workload(domain, "degraded_worth", index, 0.0),
+                    revenue=c.number("worth", 1.0),
+                    late_share=c.number("late_share", 0.0),
+                    goal_stretch=c.number("aim_stretch", 0.0),
+                    window=c.seconds("window_ms"),
+                    calls=bool(domain.at("calls_by_class", index, False)),
+                    poorer_share=domain.counted("degraded_worth", domain.at("degraded_worth", index, 0.0)),
                 )
             )
         tenants = [
-            it.Tenant(t["name"], _get(t, "allowance_per_s", float("inf")))
-            for t in _get(profile, "tenants", ())
+            it.Tenant(t.table["name"], t.number("allowance_per_s", float("inf")))
+            for t in profile.sections("tenants")
         ]
         self.tenants = {t.name: index for index, t in enumerate(tenants)}
-        self.passes_wait = bool(_get(domain, "passes_deadline", False))
-        self.gauge_names = [GAUGES.get(name) for name in _get(domain, "gauges", ())]
+        self.passes_wait = bool(domain.get("passes_deadline", False))
+        self.gauge_names = [GAUGES.get(name) for name in domain.list("gauges")]
+        advice = allowed.seconds("max_retry_after_ms")
         self.settings = it.Settings(
             workloads=tuple(workloads),
             tenants=tuple(tenants),
-            servers=_get(profile, "servers", 1),
-            cores=_get(domain, "cpus", 1),
-            memory=_get(domain, "heap_kb", float("inf")),
-            run_memory_factor=_get(domain, "run_mem_factor", 1.0),
-            key_memory=_get(domain, "key_kb", 0.0),
+            servers=profile.number("servers", 1),
+            cores=domain.number("cpus", 1),
+            memory=domain.number("heap_kb", float("inf")),
+            run_memory_factor=domain.number("run_mem_factor", 1.0),
+            key_memory=domain.number("key_kb", 0.0),
             halting=HALTING.get(domain.get("halt"), it.Halting.OFF),
             saying=SAYING.get(domain.get("say"), it.Saying.OFF),
-            tick=_seconds(profile, "tick_ms"),
-            answer_slack=_seconds(rules, "grace_to_answer_ms"),
-            drain_grace=_seconds(rules, "drain_grace_ms"),
-            crowd_factor=_get(rules, "overload_factor", 1.0),
-            cold=bool(_get(domain, "cold", False)),
-            cold_speed=_get(rules, "start_capacity", 1.0),
-            cold_time=_seconds(rules, "cold_ms"),
-            calls_share=_get(domain, "calls_out", float("inf")),
-            calls_window=_seconds(domain, "calls_over_ms"),
-            call_linger=_seconds(domain, "linger_ms"),
-            fresh_for=_seconds(domain, "fresh_ms"),
-            longest_advice=_seconds(allowed, "max_retry_after_ms") if allowed.get("retry_after") else 0.0,
+            tick=profile.seconds("tick_ms"),
+            answer_slack=rules.seconds("grace_to_answer_ms"),
+            drain_grace=rules.seconds("drain_grace_ms"),
+            crowd_factor=rules.number("overload_factor", 1.0),
+            cold=bool(domain.get("cold", False)),
+            cold_speed=rules.number("start_capacity", 1.0),
+            cold_time=rules.seconds("cold_ms"),
+            calls_share=max(LEAST_SHARE, domain.number("calls_out", UNBOUNDED)),
+            calls_window=domain.seconds("calls_over_ms") or 1.0,
+            call_linger=domain.seconds("linger_ms"),
+            fresh_for=domain.seconds("fresh_ms"),
+            longest_advice=advice if allowed.get("retry_after") else 0.0,
             by_work=profile.get("counted_by") == "work",
-            over_share_worth=_get(profile, "over_share_worth", 1.0),
+            over_share_worth=profile.number("over_share_worth", 1.0),
         )
 
     def __eq__(self, other):
