A notice that comes twice, at the very end, does not make an orderly drain one by a signal

Seen with a probe: while the interpreter takes itself apart its signal handlers are set back to the default, so that a second SIGTERM (or SIGHUP, SIGUSR1) then ends the process with -15 and not with 0. At fault: nothing stood for the signals after the loop (program/commands.serve). Now they are ignored from the end of the loop on; all four are held from the first line on, SIGUSR1 too, which ended a process that had not come to listen. The test sends them from what is deleted last; without the change it ends by 15.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -160,6 +160,28 @@
     assert code == 0 and "event=leaving" in log and "clean=True" in log
 
 
+def test_a_notice_while_the_interpreter_takes_itself_apart_changes_nothing(installed, tmp_path):
+    """Handlers are gone by then; what is deleted last sends it."""
+    at = installed(parties=False)
+    (tmp_path / "sitecustomize.py").write_text("""
+import gc, os, signal
+
+gc.freeze = lambda: None  # what it keeps is never deleted
+
+class Last:
+    def __del__(self, write=os.write, kill=os.kill, pid=os.getpid, numbers=(15, 2, 1, signal.SIGUSR1)):
+        write(2, b"event=last\\n")
+        for number in numbers:
+            kill(pid(), number)
+
+last = Last()
+""")
+    run = at.serve(until="event=listening", PYTHONPATH=str(tmp_path))
+    run.send_signal(signal.SIGTERM)
+    code, log = ended(run)
+    assert code == 0 and "event=last" in log
+
+
 def test_a_notice_twice_and_before_the_executor_is_there_turns_back_and_ends(installed):
     at = installed(parties=False)
     run = at.serve(until="event=listening")
--- a/valeturn/__main__.py
+++ b/valeturn/__main__.py
@@ -1,12 +1,11 @@
 """The real server: `python -m valeturn` serves; `python -m valeturn --help` tells what else there is."""
 
-import signal
 import sys
 
 from .transport import held
 
 if sys.argv[1:2] in ([], ["serve"]):  # a notice may come while the rest is loaded
-    held.hold(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    held.hold()
 
 from .program.commands import main  # noqa: E402
 
--- a/valeturn/program/commands.py
+++ b/valeturn/program/commands.py
@@ -103,7 +103,6 @@
 
 import importlib
 import os
-import signal
 import sys
 
 from .. import __version__
@@ -135,7 +134,7 @@
 
 def serve(path=None, verbose=False, settings=None, seams=None):
     """seams: a laboratory's."""
-    held.hold(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    held.hold()
     from .server import Ended, Server
 
     c = configuration.load(path=path)
@@ -150,8 +149,10 @@
         code = server.serve()
         if server.again:
             os.execv(sys.executable, sys.orig_argv)
+        held.ignore()
         return code
     except Ended:
+        held.ignore()
         return 0
     except OSError as error:  # the address to listen on is taken or not this machine's
         print(f"valeturn: listen: {error}", file=sys.stderr)
