--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -298,6 +298,15 @@
     assert left and left[0] < 1.0
 
 
+def test_the_link_is_looked_at_also_while_the_module_asks_for_nothing():
+    made, looks = quiet(), []
+    made.link.check = lambda: looks.append(1)
+    made.scheduler.spawn(made.sweep)
+    made.scheduler.call_later(0.17, made.scheduler.stop)
+    made.scheduler.run()
+    assert len(looks) >= 2
+
+
 def test_two_signals_in_a_row_read_the_file_once_more_after_the_last():
     made, reads = quiet(), []
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -633,6 +633,22 @@
     run(scheduler, test)
 
 
+def test_a_link_that_falls_silent_is_made_again_though_nobody_asks(scheduler, monkeypatch):  # noqa: F811
+    """Welcomed, then nothing: neither an end nor a break. The sweep looks, not only who asks for gauges."""
+    monkeypatch.setattr(executor_module, "SILENT", 0.1)
+    played, box = Played(scheduler, WELCOME, WELCOME), Mailbox(scheduler, 50)
+    link = ExecutorLink(scheduler, played.address, Chance(1), box.put, lambda *_: None)
+
+    def test():
+        while len(played.told) < 2:
+            scheduler.sleep(0.01)
+            link.check()
+        scheduler.sleep(0.02)
+        assert [type(m) for m in box.take_all(1.0)] == [msg.LinkUp, msg.LinkDown, msg.LinkUp]
+
+    run(scheduler, test)
+
+
 @pytest.mark.parametrize("spoilt", [
     b"garbage\n", b'{"t":"EXIT","no":2,"rid":"a","status":"success","time_ms":NaN}\n',
     b'{"t":"EXIT","no":1e999,"rid":"a","status":"success","time_ms":1}\n',
--- a/valeturn/lab/services.py
+++ b/valeturn/lab/services.py
@@ -30,12 +30,12 @@
 
 
 def quietly(serve):
-    """Peers that are killed end their connection as they like."""
+    """Peers that are killed end their connection as they like; the loop may end first."""
 
     async def connection(reader, writer):
         try:
             await serve(reader, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
