--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -575,6 +575,24 @@
     run(scheduler, test)
 
 
+def test_a_quiet_one_s_place_is_free_at_once_one_with_bytes_unread_later(scheduler, monkeypatch):  # noqa: F811
+    """Silent ones that never close held newcomers up for the linger each."""
+    monkeypatch.setattr(gateways_module, "YOUNG", 0.0)
+    served = Served(scheduler)
+
+    def test():
+        quiet, silent = served.connect()
+        assert served.gateways.evict() and quiet.ended and not served.gateways.connections
+        assert served.to_the_end(silent) == NO_MORE
+        crossed, far = served.connect()
+        far.sendall(submission(1))
+        arrived(crossed.stream)
+        assert not served.gateways.evict() and not crossed.ended
+        assert served.to_the_end(far) == NO_MORE + frame(8, 1, TURNED)
+
+    run(scheduler, test)
+
+
 def test_those_accepted_during_a_drain_are_asked_to_close_too(scheduler):  # noqa: F811
     served = Served(scheduler)
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -440,6 +440,9 @@
     def interrupt(self):
         pass
 
+    def quiet(self):
+        return False
+
     def close(self):
         self.closed = True
 
--- a/valeturn/routing/gateways.py
+++ b/valeturn/routing/gateways.py
@@ -286,11 +286,15 @@
         return sorted(free, key=lambda c: (c.spoke, c.idle_since))
 
     def evict(self):
-        """Closes the one that can best be done without; never True, as its place comes free a little later.
-        What crosses the close is turned back, or its gateway sends it once more."""
+        """Closes the one that can best be done without. With nothing unread it is owed nothing, and its place
+        is free at once (True): else newcomers wait behind those that do not even close. What comes in the
+        moment of the close is turned back, or its gateway sends it once more."""
         for connection in self.least_used(self.scheduler.clock())[:1]:
             self.count("gateway.evicted")
             connection.ask_to_close()
+            if connection.stream.quiet():
+                connection.end()
+                return True
             connection.close(CROSSING)
         return False
 
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 from enum import Enum
 
@@ -66,6 +67,14 @@
         except OSError:
             return Trouble.RESET
 
+    def quiet(self):
+        """True where nothing is unread or unsent at this moment: a close resets nothing then."""
+        if self.trouble is not None or self.unsent:
+            return False
+        poller = select.poll()
+        poller.register(self.sock.fileno(), READ)
+        return not poller.poll(0)
+
     def interrupt(self):
         """Ends a wait for something to read."""
         if self.trouble is None:
