A turn is granted to the life that is there, not to one its last report came from

The request was counted as done. Ruled out: a word refused or lost (n0 logged no turn_out and no refusal; "in work" without "draining" is the row (GRANTED, GONE) alone); a number of a life reused (the owner logged "reborn", which takes a larger one). Lines at fault: Turns.views kept the last report of a server while member.life >= view.life, so that for up to 4 leases after a restart the report of the life before passed for one of the new; Order.choose granted to its life, and the first report of the new life then read as the end of the granted one. Change: order.seen joins report and membership; a report of an earlier life than the member's says nothing, so that one that is back waits until it has reported itself ("it has not reported").

Besides, no change of behaviour: Listener.waits and Stream.quiet ask one function, scheduler.readable; the storm's witness uses the checker's NOTICED instead of the same number.

--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,12 +1,16 @@
 """The order of turns and a server's place in it, without I/O."""
 
+from types import SimpleNamespace as Stub
+
 import pytest
 
+from valeturn.fleet.membership import ALIVE, LEFT, Member
 from valeturn.fleet.owner import Facts, fact_of
 from valeturn.lab import turns as lab
 from valeturn.transport.chance import Chance
 from valeturn.turns import order as od
 from valeturn.turns import place as pl
+from valeturn.turns.running import Turns
 
 LIMITS = od.Limits(most=1, share=1.0, one_zone=True, spare=0.1, answers=5, idle=30.0, keep=True)
 
@@ -228,6 +232,64 @@
     assert owner.look([view("a"), view("b"), silent[2]])["a"] == od.GRANTED
 
 
+class AtOwner(Owner):
+    """The order at the owner's server, with reports and a membership: the server's own part as it is."""
+
+    def __init__(self, *rows):
+        super().__init__(*rows)
+        fleet = Stub(
+            name="o",
+            options=Stub(lease=1.0, zone="z"),
+            scheduler=None,
+            runs=Stub(environment={}),
+            others=[],
+            clock=lambda: self.now,
+            facts=lambda: (None, self.facts, "o"),
+            owner_now=lambda: "o",
+            leads=lambda now: False,
+            membership=Stub(me=self.member("o", 1), members={}),
+        )
+        self.turns = Turns(fleet, Stub(patience=9.0), None, None, None)
+        self.turns.order = self.order
+
+    @staticmethod
+    def member(name, life, state=ALIVE):
+        return Member(name, "", "a", life, 0, state, 0.0)
+
+    def joins(self, name, life, state=ALIVE):
+        self.turns.fleet.membership.members[name] = self.member(name, life, state)
+
+    def reports(self, name, life, warm=1.0, answers=100):
+        self.turns.on_report(self.now, name, 0.0, life, "a", 1.0, 0.1, warm, False, answers, od.WAITING, 0)
+
+    def look(self):
+        return super().look(list(self.turns.views(self.now).values()))
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_turn_is_of_the_life_that_is_there_not_of_the_last_report(late):
+    """It left by the platform's notice while it waited, and is back: what its earlier life said, heard before
+    or after that is known, grants nothing, so that it does go out in its new one."""
+    owner = AtOwner(*asked("a"))
+    owner.joins("a", 1)
+    owner.reports("o", 1)
+    owner.reports("a", 1)
+    owner.joins("a", 1, LEFT)
+    assert owner.look() == {"a": od.WAITING}
+    owner.joins("a", 2)
+    if late:
+        owner.reports("a", 1)
+    assert owner.look() == {"a": od.WAITING} and owner.order.reasons["a"] == "it has not reported"
+    owner.reports("a", 2)
+    assert owner.look() == {"a": od.GRANTED} and owner.rows()["a"].life == 2
+    owner.reports("a", 2)
+    assert owner.look() == {"a": od.GRANTED}, "it has yet to go"
+    owner.reports("a", 1)
+    assert owner.look() == {"a": od.GRANTED}, "a late report of the life before is no end of this one"
+    owner.joins("a", 3)
+    assert owner.look() == {"a": od.WORKING}, "the life that was granted its turn is over"
+
+
 def test_by_any_inputs_no_more_are_out_than_allowed_and_every_request_ends():
     """Beside it, plainly: who was granted and has not been in since is out."""
     for seed in range(40):
--- a/valeturn/lab/floods.py
+++ b/valeturn/lab/floods.py
@@ -28,7 +28,7 @@
 from typing import NamedTuple
 
 from ..transport.chance import Chance
-from .checker import CUT, DELIVERED, SILENT, TURNED_BACK
+from .checker import CUT, DELIVERED, NOTICED, SILENT, TURNED_BACK
 from .executor import Executor, Plan
 from .gateways import CODES, Connection, frame, read_answer, submission
 from .restarts import configuration
@@ -420,7 +420,7 @@
     def excused(self, one, runs):
         """Its server was killed or paused, or it crossed an orderly close and never ran."""
         server = self.servers[one.server]
-        if one.ended > server.killed.get(one.life, 1e300) - 0.3:
+        if one.ended > server.killed.get(one.life, 1e300) - NOTICED:
             return True
         if one.outcome == SILENT:
             return any(began < one.ended and one.sent < until for began, until in server.paused)
--- a/valeturn/transport/listener.py
+++ b/valeturn/transport/listener.py
@@ -4,12 +4,11 @@
 
 import array
 import errno
-import select
 import socket
 import struct
 from enum import Enum
 
-from .scheduler import READ
+from .scheduler import READ, readable
 from .streams import Stream
 
 BACKLOG = 512  # a whole fleet of gateways may connect at once after a start
@@ -91,9 +90,7 @@
 
     def waits(self):
         """True where one waits to be accepted: nobody goes for a newcomer that is not there."""
-        poller = select.poll()
-        poller.register(self.sock.fileno(), READ)
-        return bool(poller.poll(0))
+        return readable(self.sock.fileno())
 
     def released(self):
         self.count -= 1
--- a/valeturn/transport/scheduler.py
+++ b/valeturn/transport/scheduler.py
@@ -19,6 +19,13 @@
 AGAIN = 0.1  # s before a lasting task that failed goes on: its fault may come back at once, with a log line
 
 
+def readable(fd):
+    """Whether something is to be read there, accepted or seen to end at this moment: never waits."""
+    poller = select.poll()
+    poller.register(fd, READ)
+    return bool(poller.poll(0))
+
+
 class Cancelled(greenlet.GreenletExit):
     """Raised in a task that another one has cancelled."""
 
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import errno
-import select
 import socket
 from enum import Enum
 
-from .scheduler import READ, WRITE
+from .scheduler import READ, WRITE, readable
 
 CHUNK = 65536  # a read takes a burst of submissions whole: they are some hundred bytes each
 READS = 8  # in a row that find bytes; then others get their turn, as who writes faster never makes us wait
@@ -69,11 +68,7 @@
 
     def quiet(self):
         """True where nothing is unread or unsent at this moment: a close resets nothing then."""
-        if self.trouble is not None or self.unsent:
-            return False
-        poller = select.poll()
-        poller.register(self.sock.fileno(), READ)
-        return not poller.poll(0)
+        return self.trouble is None and not self.unsent and not readable(self.sock.fileno())
 
     def interrupt(self):
         """Ends a wait for something to read."""
--- a/valeturn/turns/order.py
+++ b/valeturn/turns/order.py
@@ -105,6 +105,15 @@
     heard: float = 0.0  # s, of the owner's clock
 
 
+def seen(name, report, zone, life, alive, doubted):
+    """A View of one server from its last report, or None, and what the membership has: zone, life (0 where it
+    is not known), whether it is alive and doubted. A report of an earlier life tells nothing of the one that
+    is there: a turn granted by it would be one of a life that is over, and count as done."""
+    if report is None or life > report.life:
+        return View(name, zone, life, alive, doubted, heard=-math.inf)
+    return report._replace(there=alive and life == report.life, doubted=doubted)
+
+
 class Limits(NamedTuple):
     """[turns] of the operator's file."""
 
--- a/valeturn/turns/running.py
+++ b/valeturn/turns/running.py
@@ -7,7 +7,7 @@
 from ..fleet.membership import ALIVE, SUSPECTED
 from ..fleet.runs import Runs
 from . import place as pl
-from .order import DRAINING, EMPTY, STATES, WAITING, Order, Row, View, read_row
+from .order import DRAINING, EMPTY, STATES, WAITING, Order, Row, View, read_row, seen
 
 ROUND = 0.5  # of a lease between reports
 LASTS = 1.5  # leases that a word of the owner is good, from the report that it answers
@@ -96,10 +96,9 @@
         self.reports = {name: view for name, view in self.reports.items() if now - view.heard < ROSTER}
         for name in {*members, *self.reports, *(row.server for row in self.rows())}:
             member = members.get(name)
-            view = self.reports.get(name, View(name, member.zone if member else "-", 0, False, heard=-1e9))
-            state = member.state if member is not None else None
-            there = state in (ALIVE, SUSPECTED) and member.life >= view.life
-            out[name] = view._replace(there=there, doubted=state == SUSPECTED)
+            zone, life, state = (member.zone, member.life, member.state) if member else ("-", 0, None)
+            alive = state in (ALIVE, SUSPECTED)
+            out[name] = seen(name, self.reports.get(name), zone, life, alive, state == SUSPECTED)
         return out
 
     def look(self, now):
