--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -219,6 +219,47 @@
     assert kinds(out).count(it.GoWithout) >= 4, "those would stand longer than a call takes"
 
 
+def slow_call(m, took=0.3):
+    """One call that tells how slow the dependency is."""
+    m.batch(0.05, arrive(90, FILE))
+    m.batch(0.06, it.AtCall(90))
+    m.batch(0.06 + took, it.CallEnded(90, it.Outcome.DONE, took), it.Ended(90, it.Outcome.DONE, took + 0.1))
+
+
+def with_late_share(share):
+    *others, filed = settings().workloads
+    return (*others, filed._replace(late_share=share))
+
+
+@pytest.mark.parametrize("share, late", [(0.0, it.WriteOff), (0.2, it.Call)])
+def test_who_would_earn_nothing_after_its_call_is_written_off_at_once_and_leaves_the_credit(share, late):
+    """A dependency that got slow: in the order of goals all of them would be served, each just too late."""
+    m = model(calls_share=0.4, cores=12, workloads=with_late_share(share))
+    slow_call(m)
+    m.batch(2.0, arrive(1, FILE, waited=1.75), arrive(2, FILE))
+    out = m.batch(2.1, it.AtCall(1), it.AtCall(2))
+    assert kinds(out, 1) == [late], "it takes 0.3 s, and 0.15 are left"
+    assert (it.Call in kinds(out, 2)) == (not share), "there is credit for one"
+
+
+def test_who_stands_for_a_call_is_written_off_once_it_can_only_be_late():
+    m = model(calls_share=0.2, cores=12)
+    slow_call(m)
+    m.batch(2.0, *[arrive(n, FILE) for n in range(1, 9)])
+    out = m.batch(2.1, *[it.AtCall(n) for n in range(1, 9)])
+    assert 0 < kinds(out).count(it.WriteOff) < 8, "its share of calls serves a few before their goal"
+    assert all(a.wait <= 2.0 + 2.0 - 2.1 + 1e-9 for a in out if isinstance(a, it.Call))
+
+
+@pytest.mark.parametrize("share, until_", [(0.0, 2.0), (0.2, 5.0)])
+def test_a_call_is_waited_for_only_while_its_answer_would_earn_something(share, until_):
+    m = model(calls_share=90.0, workloads=with_late_share(share))
+    slow_call(m, took=1.9)
+    m.batch(2.0, arrive(1, FILE, left=5.0))
+    call, = [a for a in m.batch(2.01, it.AtCall(1)) if isinstance(a, it.Call)]
+    assert call.wait == pytest.approx(until_ - 0.01)
+
+
 def test_a_call_that_can_be_left_out_is_waited_for_only_while_the_run_still_fits():
     m = model()
     m.batch(0.1, arrive(1, READ, cost_hint=0.2, left=2.9), arrive(2, FILE))
--- a/valeturn/rules.py
+++ b/valeturn/rules.py
@@ -321,7 +321,7 @@
 
     def do_call(self, sub):
         """Sets aside the longest that the call can stand at the dependency; what it spares comes back."""
-        until = self.skip_at(sub) if self.can_skip(sub) else sub.due
+        until = self.skip_at(sub) if self.can_skip(sub) else self.last_use(sub)
         least = self.least_wait()
         again = self.s.workloads[sub.workload].effect is Effect.IDEMPOTENT
         most = least * (PATIENCE if again else LAST_PATIENCE)
@@ -332,17 +332,21 @@
         sub.called_at, self.credit = self.now, self.credit - sub.reserved
         self.out.append(it.Call(sub.id, wait))
 
+    def last_use(self, sub):
+        """The moment after which its answer earns nothing."""
+        return sub.due if self.s.workloads[sub.workload].late_share else sub.goal_by
+
     def call_time(self):
         """What a call takes: a mean of ten seconds, or more where the last few tell so: their middle one, no
         slower for one that is never answered; a mean of so few would be."""
         time, count = self.calls.read(self.now)
-        return max(time / count if count > 0.1 else 0.025, MIDDLE * self.middle)
+        return max(time / count if count > 0.1 else 0.025, self.middle)
 
     def least_wait(self):
         """Four calls, 50 ms at least: too short a wait gives up calls that would have ended well. Longer than
         half of what may be saved would hardly ever be found."""
         most = 0.5 * (CALLS_SAVED * self.s.calls_share * self.s.calls_window - self.s.call_linger)
-        return max(0.05, min(4 * self.call_time(), most))
+        return max(0.05, min(4 * max(self.call_time(), MIDDLE * self.middle), most))
 
     def call_left(self, sub, given):
         """A call that ended is paid for by its time; one given up may linger as long as the settings say."""
@@ -575,6 +579,9 @@
             if self.can_skip(sub) and (reduced or stands > need or self.now + stands >= self.skip_at(sub)):
                 self.step(sub, SKIP)
                 continue
+            if not self.can_skip(sub) and self.now + stands + takes > self.last_use(sub):
+                self.step(sub, GIVE_UP)
+                continue
             if self.credit >= need:
                 self.step(sub, CALL_OUT)
             soon -= takes
