A fault in the owner's own turn answers what is open; one with a signal loses no notice

Now it is met like a fault of the module: all that is open gets its true answer, and the module begins anew. - transport/signals.py: the numbers of one read were acted on in a loop; a fault with one (the counters' print, an operator's part) lost those behind it, a notice to leave among them. Now each is taken out before it is acted on. Tests: each seen failing without its change.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -20,6 +20,8 @@
 from valeturn.program.server import Server
 from valeturn.protocol import frames
 from valeturn.routing import messages as msg
+from valeturn.transport.scheduler import Scheduler
+from valeturn.transport.signals import Signals
 
 NEXT = iter(range(1, 250))
 COMMAND = ["-m", "valeturn", "serve", "--config"]
@@ -323,6 +325,22 @@
     assert len(reads) == 2
 
 
+def test_a_fault_with_one_signal_does_not_lose_the_notice_that_came_with_it():
+    scheduler = Scheduler(on_failure=lambda *_: None)
+    numbers = (signal.SIGUSR1, signal.SIGTERM)
+    before = {number: signal.getsignal(number) for number in numbers}
+    try:
+        Signals(scheduler, {signal.SIGUSR1: lambda: 1 / 0, signal.SIGTERM: scheduler.stop})
+        for number in numbers:  # both are in the pipe before it is read
+            signal.raise_signal(number)
+        scheduler.call_later(5.0, sys.exit, "the notice was never heard")
+        scheduler.run()
+    finally:
+        signal.set_wakeup_fd(-1)
+        for number, handler in before.items():
+            signal.signal(number, handler)
+
+
 def test_a_fault_in_the_drain_still_ends_the_process_before_the_stop():
     made = quiet(stop_ms=400)
     made.drain = lambda: 1 / 0
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -347,6 +347,20 @@
     assert caller.answers[-1][:2] == (4, DELIVERED)
 
 
+def test_a_fault_of_the_owner_s_own_turn_answers_what_it_had_heard_and_serving_goes_on(caller):
+    """Before, its task ended, and the process with it: with all that was open."""
+    ends = Ends()
+    ends.arrive("file", caller, do=[it.Start])
+    whole, ends.core.meet_wakes = ends.core.meet_wakes, lambda now: 1 / 0
+    ends.arrive("read", caller)
+    ends.core.meet_wakes = whole
+    assert [a[:2] for a in caller.answers] == [(1, WRITTEN_OFF), (2, TURNED_BACK)]
+    assert not ends.core.open and ends.logged.count("module_failed") == 1
+    _, call = ends.arrive("read", caller, do=[it.Start])
+    ends.turn(over(call))
+    assert caller.answers[-1][:2] == (3, DELIVERED)
+
+
 def test_a_module_that_fails_while_leaving_hears_of_the_stop_again(caller):
     ends = Ends()
     ends.turn(msg.Leaving(3.0))
--- a/valeturn/routing/core.py
+++ b/valeturn/routing/core.py
@@ -101,6 +101,12 @@
 
     def turn(self, taken):
         now = self.scheduler.clock()
+        try:
+            self.take(now, taken)
+        except Exception as error:  # what was heard in it may never reach the module: that begins anew
+            self.module_failed(now, error)
+
+    def take(self, now, taken):
         self.events = []
         for message in taken:
             self.carry(self.takes, now, message)
--- a/valeturn/transport/signals.py
+++ b/valeturn/transport/signals.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+from collections import deque
 
 from .held import HELD
 from .scheduler import READ
@@ -13,7 +14,7 @@
     def __init__(self, scheduler, actions):
         """actions: signal number -> function, called in a task."""
         self.actions = actions
-        self.scheduler = scheduler
+        self.scheduler, self.came = scheduler, deque()
         self.end, other = os.pipe()  # not a pair of sockets: those are Unix sockets, which a platform may bar
         for fd in (self.end, other):
             os.set_blocking(fd, False)
@@ -27,11 +28,11 @@
 
     def run(self):
         while True:
+            while self.came:  # taken out one by one: a fault with one must not lose the notice behind it
+                self.actions[self.came.popleft()]()
             self.scheduler.wait_fd(self.end, READ)
             try:
                 got = os.read(self.end, 64)
             except BlockingIOError:
                 continue
-            for number in got:
-                if number in self.actions:
-                    self.actions[number]()
+            self.came += [number for number in got if number in self.actions]
