An answer without an end keeps nobody; a start without a standard error serves

Now an answer has 400 KB in all (a body in chunks of a byte each). - program/logs.py: a process whose standard error was closed before it started ended with an AttributeError; it serves now, without a log. A field whose text can't be had raised in the handler, and in the hub that ends the loop; the line is dropped. - protocol/executor.py: commands "not carried out" were counted by the name that came with them, whatever it was: a table without a bound. Names nobody ever sent count as one. Tests: each seen failing without its change (of the two endless answers the one of trailers; interim ones came slower than they were read there, and met the time-out before as well).

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -124,6 +124,21 @@
     assert code == 0 and 0.5 <= time.monotonic() - began < 1.5
 
 
+def test_one_that_is_started_without_a_standard_error_serves_and_ends(installed):
+    at = installed()
+    run = at.start(["/bin/sh", "-c", 'exec "$0" "$@" 2>&-', sys.executable, *COMMAND, str(at.config)])
+    until = time.monotonic() + 15
+    while True:
+        try:
+            with at.connect():
+                break
+        except OSError:
+            assert run.poll() is None and time.monotonic() < until
+            time.sleep(0.02)
+    run.send_signal(signal.SIGTERM)
+    assert run.wait(timeout=15) == 0
+
+
 BY_ITSELF = ["-c", "import sys; from valeturn.program.commands import serve; sys.exit(serve(sys.argv[1]))"]
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,10 +14,12 @@
 from valeturn.interface import Outcome
 from valeturn.program.bounds import derive
 from valeturn.protocol import executor as lines
+from valeturn.protocol.http import Malformed
 from valeturn.routing import executor as executor_module
 from valeturn.routing import gateways as gateways_module
 from valeturn.routing import ledger as ledger_module
 from valeturn.routing import messages as msg
+from valeturn.routing.exchange import exchange
 from valeturn.routing.executor import ExecutorLink
 from valeturn.routing.gateways import Gateways
 from valeturn.routing.ledger import Ledger
@@ -706,6 +708,38 @@
     run(scheduler, test)
 
 
+@pytest.mark.parametrize("endless", [
+    b"HTTP/1.1 102 Processing\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + b"x: y\r\n" * 999,
+])
+def test_an_answer_without_an_end_that_never_makes_one_wait_keeps_nobody(scheduler, endless):  # noqa: F811
+    first, _, more = endless.partition(b"0\r\n")
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def writes():
+        far, _ = listener.accept()
+        try:
+            far.sendall(first + b"0\r\n" if more else first)
+            while True:
+                far.sendall((more or first) * 50)
+        except OSError:
+            far.close()
+
+    thread = threading.Thread(target=writes, daemon=True)
+    thread.start()
+    got = []
+
+    def test():
+        got.append(exchange(scheduler, listener.getsockname(), b"GET / HTTP/1.1\r\n\r\n",
+                            scheduler.clock() + 0.05))
+
+    scheduler.call_later(8.0, scheduler.stop)
+    run(scheduler, test)
+    thread.join(5)
+    listener.close()
+    assert isinstance(got[0], Malformed) or got[0].trouble is Trouble.TIMED_OUT
+
+
 def test_a_second_call_of_a_run_is_not_ended_by_the_end_of_the_first(scheduler):  # noqa: F811
     """The first is given up in the turn in which its reply has come."""
     box = Mailbox(scheduler, 10)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -132,6 +132,22 @@
     os.close(writes)
 
 
+def test_a_line_that_can_t_be_written_down_is_dropped():
+    class Odd:
+        def __str__(self):
+            raise ValueError("says nothing")
+
+    reads, writes = os.pipe()
+    handler = logs.NeverWaiting(writes)
+    handler.setFormatter(logs.KeyValue())
+    record = logging.makeLogRecord({"msg": "x", "created": 1.0, "levelname": "INFO"})
+    record.fields = {"odd": Odd()}
+    handler.emit(record)
+    assert handler.dropped == 1
+    os.close(reads)
+    os.close(writes)
+
+
 def test_counters_are_grouped_by_their_first_part():
     counters = Counters()
     for name in ("in.submissions", "out.delivered", "in.submissions"):
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -250,3 +250,9 @@
     assert http.request("POST", "/post", "h:1", [("X-Txn-Ref", "a")], b"hi") == (
         b"POST /post HTTP/1.1\r\nHost: h:1\r\nX-Txn-Ref: a\r\nContent-Length: 2\r\n\r\nhi"
     )
+
+
+def test_a_command_that_nobody_ever_sent_is_counted_under_one_name():
+    words = (b'"KILL"', b'"odd"', b'["x"]', b"null")
+    told = [executor.notice(b'{"t":"BAD","status":%s}' % word) for word in words]
+    assert [notice.command for notice in told] == ["KILL", "other", "other", "other"]
--- a/valeturn/program/logs.py
+++ b/valeturn/program/logs.py
@@ -37,7 +37,11 @@
         self.poller.register(descriptor, select.POLLOUT)
 
     def emit(self, record):
-        data = (self.format(record) + "\n").encode(errors="replace")
+        try:
+            data = (self.format(record) + "\n").encode(errors="replace")
+        except Exception:  # a line of what went wrong must not be what ends the loop
+            self.dropped += 1
+            return
         for start in range(0, len(data), select.PIPE_BUF):
             ready = self.poller.poll(0)
             if not ready or ready[0][1] & ~select.POLLOUT:
@@ -51,7 +55,8 @@
 
 
 def set_up(name):
-    handler = NeverWaiting(sys.stderr.fileno())
+    # One whose standard error was closed before it started has none to write to, and serves all the same.
+    handler = logging.NullHandler() if sys.stderr is None else NeverWaiting(sys.stderr.fileno())
     handler.setFormatter(KeyValue())
     LOGGER.handlers, LOGGER.propagate = [handler], False
     LOGGER.setLevel(logging.INFO)
--- a/valeturn/protocol/executor.py
+++ b/valeturn/protocol/executor.py
@@ -13,6 +13,7 @@
 LONGEST = 65536  # bytes of a line: ten times a result of 4 KiB in base64
 MOST_NUMBER = 2**53  # of a notice: what all readers of JSON agree on
 MOST_MS = 1e13  # of a time: three hundred years
+COMMANDS = frozenset(("JOIN", "EXEC", "KILL", "RETURN", "BYPASS", "METER", "DIAG"))
 
 
 class End(Enum):
@@ -132,6 +133,12 @@
     return m[name]
 
 
+def _command(m):
+    """It is counted by its name: one that nobody ever sent gets none of its own, or the counts would grow."""
+    told = str(m.get("status"))
+    return told if told in COMMANDS else "other"
+
+
 def _gauges(m):
     values = m["v"]
     if not isinstance(values, list) or not all(
@@ -147,7 +154,7 @@
     "METERS": lambda m: Gauged(_words(m, "mark"), _gauges(m)),
     "DIAGNOSED": lambda m: Diagnosed(_words(m, "mark"), m["status"] == "success"),
     "BAD": lambda m: NotCarriedOut(
-        str(m.get("status")), None if m.get("rid") is None else _words(m, "rid")),
+        _command(m), None if m.get("rid") is None else _words(m, "rid")),
 }
 
 
--- a/valeturn/protocol/http.py
+++ b/valeturn/protocol/http.py
@@ -5,6 +5,9 @@
 from typing import NamedTuple
 
 MOST_HEAD, MOST_BODY = 16384, 65536  # bytes: the services here answer with a few headers and 4 KiB at most
+# Bytes of an answer with all that may stand round it: a body in chunks of a byte each. Who sends interim
+# answers or trailers without an end would else keep its reader for ever, as it never has to wait.
+MOST = MOST_HEAD + 6 * MOST_BODY
 
 
 class Answer(NamedTuple):
@@ -31,12 +34,16 @@
 
     def __init__(self):
         self.held, self.head, self.body, self.left, self.form = bytearray(), None, bytearray(), 0, "head"
+        self.taken = 0
 
     def feed(self, data):
         self.held += data
+        self.taken += len(data)
         try:
             while True:
                 found = getattr(self, "_" + self.form)()
+                if found is None and self.taken > MOST:
+                    raise ValueError("answer too long")
                 if found is not True:
                     return found or None
         except ValueError as error:
