--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -216,7 +216,7 @@
 
 
 def test_who_would_stand_long_for_a_call_goes_without_at_once_and_the_others_keep_the_credit():
-    read, *others = settings().workloads  # its goal is far: only the wait itself speaks against standing there
+    read, *others = settings().workloads  # its goal is far: only the wait speaks against it
     m = model(calls_share=0.4, cores=12, workloads=(read._replace(latency_goal=2.9), *others))
     slow_call(m)
     m.batch(2.0, *[arrive(n, READ, left=2.9) for n in range(1, 7)], arrive(7, FILE))
