Laboratory: addresses of restarted servers are reserved, outside the kernel's own range

Cause: the restart scenario, the levels and flood scenarios and one test picked a port by bind, close, use again later, out of 32768 to 60999, from which the kernel takes ports for connections. Change: valeturn/lab/addresses.py reserves an address below that range until its process ends. The restart scenario takes the share of its kills that follow a SIGHUP as an argument (0.2 as before).

--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -28,6 +28,7 @@
 from valeturn.control import answers, requests
 from valeturn.control.errors import InvalidRequestError
 from valeturn.lab import restarts
+from valeturn.lab.addresses import reserve_address
 from valeturn.maintenance.coordinator import MaintenanceCoordinator, ServerMeasurement
 from valeturn.maintenance.options import MaintenanceOptions
 from valeturn.result_store import commands as store_commands
@@ -802,8 +803,8 @@
 turn_back = quote
 [fleet]
 name = lab
-listen = 127.0.0.1:{port}
-seeds = 127.0.0.1:{port}
+listen = {host}:{port}
+seeds = {host}:{port}
 voters = lab
 lease = 1 s
 probe = 500 ms
@@ -831,12 +832,6 @@
     return "null" if value is None else type(value).__name__
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Client:
     """Asks the control socket of a running server, line by line."""
 
@@ -873,7 +868,8 @@
     """The answers of a server with all its parts, its status and its metrics."""
     lane = restarts.Lane(folder, 1, 1, 0)
     await lane.set_up()
-    added = SETTINGS.format(folder=folder, port=free_port())
+    host, port = reserve_address()
+    added = SETTINGS.format(folder=folder, host=host, port=port)
     lane.settings.write_text(lane.settings.read_text() + added)
     await lane.start()
     client = Client(str(folder / "c.sock"))
--- a/valeturn/lab/floods.py
+++ b/valeturn/lab/floods.py
@@ -28,6 +28,7 @@
 from typing import NamedTuple
 
 from ..transport.seeded_random import Chance
+from .addresses import reserve_address
 from .checker import CUT, DELIVERED, NOTICED, SILENT, TURNED_BACK
 from .executor import Executor, Plan
 from .gateways import CODES, Connection, frame, read_answer, submission
@@ -130,8 +131,7 @@
 
     async def set_up(self):
         _, self.link_address = await listen(self.join)
-        with socket.create_server(("127.0.0.1", 0)) as probe:
-            self.address = probe.getsockname()
+        self.address = reserve_address()
         self.write_configuration()
 
     async def join(self, reader, writer):
--- a/valeturn/lab/levelsreal.py
+++ b/valeturn/lab/levelsreal.py
@@ -17,6 +17,7 @@
 import tempfile
 
 from ..transport.seeded_random import Chance
+from .addresses import reserve_address
 from .checker import DELIVERED, TURNED_BACK
 from .emulator import BACK_OFF, TRIES
 from .executor import Executor, Plan
@@ -177,9 +178,7 @@
         for number in range(self.servers):
             executor = SharedCores(self.plan)
             party, at_executor = await listen(executor.serve)
-            probe, address = await listen(naming())
-            probe.close()
-            await probe.wait_closed()
+            address = reserve_address()
             self.parties.append(party)
             self.executors.append(executor)
             addresses.append(address)
--- a/valeturn/lab/restarts.py
+++ b/valeturn/lab/restarts.py
@@ -19,6 +19,7 @@
 import time
 
 from ..transport.seeded_random import Chance
+from .addresses import reserve_address
 from .checker import Verdict, check
 from .executor import Executor, Plan
 from .gateways import Gateway
@@ -26,6 +27,7 @@
 
 WINDOW = 30.0  # s in which repeats come: far longer than a key is sent again here
 LONGEST_LIFE = 0.35  # s from the first answer to the kill, at the most: some dozen submissions
+RELOAD_SHARE = 0.2  # of the kills, with a SIGHUP right before: a reload, whatever the store is doing
 GATEWAYS, AT_ONCE = 3, 5  # gateways a lane, and scripts on each
 SETTINGS = """[store]
 folder = {folder}
@@ -85,9 +87,10 @@
 class Lane:
     """One server with parties, gateways and a folder of its own."""
 
-    def __init__(self, folder, number, seed, kills, store=True):
+    def __init__(self, folder, number, seed, kills, store=True, reload_share=RELOAD_SHARE):
         """store: False serves without one, which must show effects twice: the checker's own check."""
         self.folder, self.number, self.kills, self.store = folder, number, kills, store
+        self.reload_share = reload_share
         self.chance = Chance(seed * 1000003 + number)
         self.life, self.tries, self.doubled, self.process = 0, [], [], None
         self.deaths = {}  # life -> when its process was seen to have been killed
@@ -110,9 +113,7 @@
         for name, serve in (("executor", self.executor.serve), ("ledger", ledger), ("naming", naming())):
             server, addresses[name] = await listen(serve)
             self.servers.append(server)
-        probe, self.address = await listen(ledger)
-        probe.close()
-        await probe.wait_closed()
+        self.address = reserve_address()
         self.config, self.settings = self.folder / "config.json", self.folder / "valeturn.ini"
         self.config.write_text(json.dumps(configuration(addresses, self.address, self.number)))
         self.settings.write_text(SETTINGS.format(folder=self.folder / "kept"))
@@ -197,9 +198,9 @@
         for _ in range(self.kills):
             await self.wait_until_served()
             wait = LONGEST_LIFE * self.chance.share()
-            if self.chance.share() < 0.2 and self.process.returncode is None:
+            if self.chance.share() < self.reload_share and self.process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):  # it has just ended itself
-                    self.process.send_signal(signal.SIGHUP)  # a reload, whatever the store is doing
+                    self.process.send_signal(signal.SIGHUP)
             try:
                 await asyncio.wait_for(self.process.wait(), wait)
             except asyncio.TimeoutError:
@@ -233,10 +234,10 @@
             await asyncio.sleep(0.005)
 
 
-async def play(kills, seed, lanes, folder, progress=lambda lane: None, store=True):
+async def play(kills, seed, lanes, folder, progress=lambda lane: None, store=True, reload_share=RELOAD_SHARE):
     lanes = max(1, min(lanes, kills))
     share = [kills // lanes + (n < kills % lanes) for n in range(lanes)]
-    all_lanes = [Lane(folder / f"lane-{n}", n, seed, share[n], store) for n in range(lanes)]
+    all_lanes = [Lane(folder / f"lane-{n}", n, seed, share[n], store, reload_share) for n in range(lanes)]
     verdicts = await asyncio.gather(*(lane.run(progress) for lane in all_lanes))
     sums = [sum(getattr(v, field) for v in verdicts) for field in ("submissions", "effects")]
     lists = [[one for v in verdicts for one in getattr(v, field)] for field in ("twice", "lost", "wrong")]
