Operator's file read in a new interpreter: no socket, lock or process outlives a killed server

Symptom: after a SIGHUP and a kill, the server's address took connections that nobody read, callers were not told of the end, and the successor found its store's folder locked; a reader that never ended held up the loop. Cause: the file was read in a fork of the server, which had all its descriptors and was waited for by os.waitpid. Change: operator_config/reader_process.py starts an interpreter with the request (a file in memory), one socket and nothing else; it ends with its server. 10 s in all, then killed and reaped by polling; a fault in the reader and a reply cut short are told for what they are. In test_loader.py two tests name a module's function in place of a lambda, as the new process imports it; what they assert is unchanged.

--- a/tests/operator_config/test_loader.py
+++ b/tests/operator_config/test_loader.py
@@ -6,8 +6,8 @@
 import pytest
 from program_support import CONFIG, ROOT, command
 
-from valeturn.operator_config import loader
-from valeturn.server import configuration
+from valeturn.operator_config import loader, reader_process
+from valeturn.server import components, configuration
 
 
 def configuration_with_memory(memory_mb):
@@ -45,11 +45,11 @@
     file = tmp_path / "v.ini"
     file.write_text(valid_text)
     deployment = configuration_with_memory(192)
-    loaded = loader.load_in_child_process(str(file), deployment, lambda: options_modules)
+    loaded = loader.load_in_child_process(str(file), deployment, components.options_modules)
     assert loaded == loader.load(str(file), deployment, options_modules)
     file.write_text("[store]\n")
     with pytest.raises(loader.OperatorConfigError) as raised:
-        loader.load_in_child_process(str(file), deployment, lambda: options_modules)
+        loader.load_in_child_process(str(file), deployment, components.options_modules)
     assert [(fault.line, fault.rule) for fault in raised.value.faults] == [(1, "missing-key")]
 
 
@@ -58,7 +58,9 @@
     file.write_text(valid_text)
     deployment = configuration_with_memory(192)
     with pytest.raises(loader.OperatorConfigError) as raised:
-        loader.load_in_child_process(str(file), deployment, lambda: options_modules, lambda connection: b"")
+        loader.load_in_child_process(
+            str(file), deployment, components.options_modules, lambda connection: b""
+        )
     assert str(raised.value) == f"{file}: unreadable: its reader ended without a word"
 
 
@@ -87,3 +89,36 @@
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
     assert done.stdout.strip() == "[]", done.stdout + done.stderr
+
+
+def test_file_may_be_a_descriptor_that_a_shell_hands_over(tmp_path):
+    """As `--settings <(command)` and `--settings /dev/stdin` name one: the reader is given that one alone."""
+    text = f"[store]\nfolder = {tmp_path}\n".encode()
+    for descriptor, path in ((0, "/dev/stdin"), (7, "/dev/fd/7"), (7, "/proc/self/fd/7")):
+        code = (
+            f"import os, sys; read, write = os.pipe(); os.write(write, {text!r}); os.close(write);"
+            f"os.dup2(read, {descriptor}); from valeturn.server.commands import main;"
+            f"sys.exit(main(['check', 'examples/config.json', '--settings', {path!r}]))"
+        )
+        done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+        assert (done.returncode, done.stderr) == (0, "") and f"good: {path}: store" in done.stdout
+
+
+def test_reader_that_fails_tells_why(tmp_path, valid_text):
+    file = tmp_path / "v.ini"
+    file.write_text(valid_text)
+    with pytest.raises(loader.OperatorConfigError) as raised:
+        loader.load_in_child_process(str(file), configuration_with_memory(192), no_modules)
+    error = ModuleNotFoundError("No module named 'test_loader'")
+    assert str(raised.value) == f"{file}: unreadable: its reader failed: {error!r}"
+
+
+def no_modules():
+    """Return nothing: the reader does not find this module, as the tests' folder is not on its path."""
+    return {}
+
+
+def test_reply_that_was_cut_short_is_none_of_a_complete_one():
+    reply = reader_process.frame_reply(["a", 1])
+    assert reader_process.parse_reply(reply) == ["a", 1]
+    assert [reader_process.parse_reply(reply[:size]) for size in range(len(reply))] == [None] * len(reply)
--- a/valeturn/operator_config/loader.py
+++ b/valeturn/operator_config/loader.py
@@ -6,16 +6,14 @@
 from __future__ import annotations
 
 import os
-import pickle
-import socket
+import time
 from collections.abc import Callable, Mapping
-from typing import Any, Protocol, TypeVar, runtime_checkable
+from typing import Any, Generic, NamedTuple, Protocol, TypeVar, runtime_checkable
 
 from ..errors import ValeturnError
+from .reader_process import READ_TIMEOUT_S, ReaderFailure, Receive, Sleep, receive_all, run_reader
 from .schema import Fault, OperatorConfig, SectionSchema, check_file
 
-RECEIVE_BYTES = 65536  # of one read from the child process: a whole file's options in one or two reads
-
 DeploymentT = TypeVar("DeploymentT")
 DeploymentT_contra = TypeVar("DeploymentT_contra", contravariant=True)
 
@@ -83,61 +81,61 @@
     return config
 
 
-def receive_all(connection: socket.socket) -> bytes:
-    """Return all bytes up to the end of the stream; blocks until then."""
-    chunks = []
-    while chunk := connection.recv(RECEIVE_BYTES):
-        chunks.append(chunk)
-    return b"".join(chunks)
+class LoadRequest(NamedTuple, Generic[DeploymentT]):
+    """What a reader process is asked for."""
+
+    path: str
+    deployment: DeploymentT
+    # Called in the reader process only, which imports it by its name.
+    import_options_modules: Callable[[], Mapping[str, OptionsModule[DeploymentT]]]
 
 
 def load_in_child_process(
     path: str | os.PathLike[str],
     deployment: DeploymentT,
     import_options_modules: Callable[[], Mapping[str, OptionsModule[DeploymentT]]],
-    receive: Callable[[socket.socket], bytes] = receive_all,
+    receive: Receive = receive_all,
+    sleep: Sleep = time.sleep,
 ) -> OperatorConfig:
-    """Load a file as `load` does, in a forked process that ends with it.
+    """Load a file as `load` does, in a process of its own that ends with it.
 
     The memory of the grammar goes with that process. A running server's event loop goes on meanwhile where
-    `receive` yields to it.
+    `receive` and `sleep` yield to it.
 
     Args:
         path: The operator's file.
         deployment: The configuration that the options are checked against.
-        import_options_modules: Returns the options modules by section; called in the child process only.
+        import_options_modules: A function of a module that returns the options modules by section.
         receive: Returns all bytes of a connection up to its end.
+        sleep: Waits between checks whether the process has ended.
 
     Raises:
-        OperatorConfigError: The file cannot be read or has a fault, or the child process failed.
+        OperatorConfigError: The file cannot be read or has a fault, or the process failed.
     """
-    parent_end, child_end = socket.socketpair()
-    child = os.fork()
-    if child == 0:
-        try:
-            child_end.sendall(pickle.dumps(_load_or_faults(path, deployment, import_options_modules)))
-        finally:
-            os._exit(0)  # also after an error: nothing of the parent's may run in the child
-    child_end.close()
-    with parent_end:
-        data = receive(parent_end)
-    os.waitpid(child, 0)
+    file = os.fspath(path)
+    request = LoadRequest(file, deployment, import_options_modules)
     try:
-        result = pickle.loads(data)
-    except (EOFError, pickle.UnpicklingError):
-        result = [Fault(str(path), 0, 0, "unreadable", "its reader ended without a word")]
+        result = run_reader(request, file, receive, sleep)
+    except TimeoutError:
+        raise _reader_failed(file, f"its reader has not ended after {READ_TIMEOUT_S:g} s") from None
+    except OSError as error:
+        raise _reader_failed(file, f"its reader can't be started: {error}") from None
     if isinstance(result, OperatorConfig):
         return result
-    raise OperatorConfigError(result)
+    if isinstance(result, list):
+        raise OperatorConfigError(result)
+    if isinstance(result, ReaderFailure):
+        raise _reader_failed(file, f"its reader failed: {result.error}")
+    raise _reader_failed(file, "its reader ended without a word")
 
 
-def _load_or_faults(
-    path: str | os.PathLike[str],
-    deployment: DeploymentT,
-    import_options_modules: Callable[[], Mapping[str, OptionsModule[DeploymentT]]],
-) -> OperatorConfig | list[Fault]:
-    """Return what the child process sends: the loaded options, or the file's faults."""
+def _reader_failed(path: str, problem: str) -> OperatorConfigError:
+    return OperatorConfigError([Fault(path, 0, 0, "unreadable", problem)])
+
+
+def load_or_faults(request: LoadRequest[DeploymentT]) -> OperatorConfig | list[Fault]:
+    """Return what the reader process sends: the loaded options, or the file's faults."""
     try:
-        return load(path, deployment, import_options_modules())
+        return load(request.path, request.deployment, request.import_options_modules())
     except OperatorConfigError as error:
         return error.faults
--- a/valeturn/server/commands.py
+++ b/valeturn/server/commands.py
@@ -5,7 +5,7 @@
 import importlib
 import os
 import sys
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
 from .. import __version__
@@ -15,9 +15,8 @@
 from .usage import USAGE
 
 if TYPE_CHECKING:
-    import socket
-
     from ..operator_config.schema import OperatorConfig
+    from .reload import ReaderWaits
     from .test_overrides import Overrides
 
 EXIT_OK = 0
@@ -43,14 +42,14 @@
 def load_operator_options(
     path: str | None,
     loaded: Configuration,
-    receive: Callable[[socket.socket], bytes] | None = None,
+    waits: ReaderWaits | None = None,
 ) -> OperatorConfig | None:
     """Read the operator's file, or return None where none is named; then none of its code is loaded.
 
     Args:
         path: The operator's file.
         loaded: The configuration that it has to fit.
-        receive: Reads a socket up to its end; by default it blocks.
+        waits: How the process that reads the file is waited for; by default by blocking.
 
     Raises:
         OperatorFileError: The file cannot be used.
@@ -61,9 +60,8 @@
     from . import components
 
     try:
-        receive = receive or loader.receive_all
         options: OperatorConfig = loader.load_in_child_process(
-            path, loaded, components.options_modules, receive
+            path, loaded, components.options_modules, *(waits or ())
         )
         return options
     except loader.OperatorConfigError as error:
@@ -93,9 +91,9 @@
     loaded = configuration.load(path=path)
     options = load_operator_options(settings, loaded)
 
-    def read_again(receive: Callable[[socket.socket], bytes]) -> tuple[Configuration, OperatorConfig | None]:
+    def read_again(waits: ReaderWaits) -> tuple[Configuration, OperatorConfig | None]:
         fresh = configuration.load(path=path)
-        return fresh, load_operator_options(settings, fresh, receive)
+        return fresh, load_operator_options(settings, fresh, waits)
 
     try:
         server = Server(loaded, logs.set_up(loaded.name), verbose, read_again, options, overrides)
--- a/valeturn/server/reload.py
+++ b/valeturn/server/reload.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
-from ..transport.streams import Stream
+from ..transport.streams import Stream, Trouble
 from .configuration import Configuration, ConfigurationError
 
 if TYPE_CHECKING:
@@ -16,10 +16,17 @@
     from .counters import Counters
     from .logs import Log
 
-READ_TIMEOUT = 10.0  # s for the process that reads the operator's file: it takes a tenth of a second
+READ_TIMEOUT = 10.0  # s for the process that reads the operator's file: it takes a fifth of a second
 
-Receive = Callable[["socket.socket"], bytes]
-ReadConfiguration = Callable[[Receive], "tuple[Configuration, OperatorConfig | None]"]
+
+class ReaderWaits(NamedTuple):
+    """How a reload waits for the process that reads the operator's file, while the loop goes on."""
+
+    receive: Callable[[socket.socket], bytes]
+    sleep: Callable[[float], object]
+
+
+ReadConfiguration = Callable[[ReaderWaits], "tuple[Configuration, OperatorConfig | None]"]
 
 
 class AppliedChanges(NamedTuple):
@@ -48,7 +55,7 @@
 
         Args:
             scheduler: Runs the reload as a task.
-            read: Reads both files, or raises ConfigurationError; it is given `receive`.
+            read: Reads both files, or raises ConfigurationError; it is given how to wait.
             apply: Takes over what it can.
             counters: Counts reloads.
             log: Logs reloads.
@@ -79,7 +86,7 @@
     def reload(self) -> None:
         """Read and apply the files once; waits for the process that reads them."""
         try:
-            configuration, options = self._read(self._receive)
+            configuration, options = self._read(ReaderWaits(self._receive, self._scheduler.sleep))
         except ConfigurationError as error:
             self._counters.add("reload.rejected")
             self._log("reload_rejected", {"reason": str(error)})
@@ -95,10 +102,19 @@
         )
 
     def _receive(self, sock: socket.socket) -> bytes:
-        """Return all bytes up to the end of a socket, while other tasks run."""
+        """Return all bytes up to the end of a socket, while other tasks run.
+
+        Raises:
+            TimeoutError: The socket has not ended after READ_TIMEOUT.
+        """
         stream = Stream(self._scheduler, sock)
+        deadline = self._scheduler.clock() + READ_TIMEOUT
         received = []
-        while isinstance(data := stream.read(READ_TIMEOUT), bytes):
-            received.append(data)
-        stream.close()
+        try:
+            while isinstance(data := stream.read(max(0.0, deadline - self._scheduler.clock())), bytes):
+                received.append(data)
+            if data is Trouble.TIMED_OUT:
+                raise TimeoutError
+        finally:
+            stream.close()
         return b"".join(received)
--- a/valeturn/server/server.py
+++ b/valeturn/server/server.py
@@ -23,7 +23,7 @@
 from ..transport.signals import Signals
 from .configuration import RELOADABLE, Configuration
 from .counters import Counters
-from .reload import AppliedChanges, ConfigurationReloader, ReadConfiguration, Receive
+from .reload import AppliedChanges, ConfigurationReloader, ReadConfiguration, ReaderWaits
 from .resource_limits import derive
 from .shutdown import GracefulShutdown
 from .status import ServerStatus
@@ -92,7 +92,7 @@
             self.scheduler, read, self.apply_configuration, self.counters, log
         )
 
-    def _unchanged_configuration(self, receive: Receive) -> tuple[Configuration, OperatorConfig | None]:
+    def _unchanged_configuration(self, waits: ReaderWaits) -> tuple[Configuration, OperatorConfig | None]:
         return self.configuration, self.options
 
     def _sockets(self) -> int:
