--- a/valeturn/lab/fault_injection/fleet.py
+++ b/valeturn/lab/fault_injection/fleet.py
@@ -55,7 +55,9 @@
         self.clock, self.notes = self.folder / "clock", self.folder / "notes"
         write_clock(self.clock, 1.0, boot_clock(), boot_clock())
         self.executor = Executor(fleet.plan)
-        self.tries, self.doubled, self.chance, self.died = [], [], fleet.chance, {}
+        self.tries, self.doubled, self.died = [], [], {}
+        # Of its own, so that what one server's gateways draw does not depend on the others' timing.
+        self.chance = Chance((fleet.seed << 16) + int(name[1:]))
         self.wall = 0.0
 
     # what its gateways ask of their world
@@ -91,6 +93,7 @@
     ):
         self.number = next(FLEETS)
         self.folder, self.chance, self.calls, self.fenced = pathlib.Path(folder), Chance(seed), 0, fenced
+        self.seed = seed
         for _ in range(8):
             self.chance.share()
         self.fleet = fleet  # False: the same servers without the section, for comparison
