--- a/tests/cluster/test_codec.py
+++ b/tests/cluster/test_codec.py
@@ -53,3 +53,8 @@
     assert isinstance(raised.value, ValeturnError)
     assert raised.value.kind == "sync"
     assert raised.value.size > MESSAGE
+
+
+def test_sender_s_generation_is_no_boolean():
+    (result,) = codec.Decoder("lab").feed(codec.encode("lab", "a", True, "ping", []))
+    assert isinstance(result, codec.DecodeError) and result.reason is codec.DecodeFailure.MALFORMED
--- a/tests/cluster/test_peer_connections.py
+++ b/tests/cluster/test_peer_connections.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from valeturn.cluster import codec
+from valeturn.cluster import codec, peer_connections
 from valeturn.cluster.limits import QUEUED, QUEUED_BYTES
 from valeturn.cluster.peer_connections import LocalEndpoint, Peer, PeerConnections, parse_address
 from valeturn.transport.scheduler import Scheduler
@@ -105,3 +105,41 @@
     assert peer.enqueue(2.0, b"x" * QUEUED_BYTES) == QUEUED
     assert [message.queued_at for message in peer.queue] == [2.0]
     assert peer.queued_bytes == QUEUED_BYTES
+
+
+def test_every_message_that_is_not_delivered_is_counted_as_dropped():
+    """What waited for a peer that could not be reached was thrown away uncounted."""
+    pair = Pair()
+
+    def scenario():
+        for _ in range(3):
+            pair.a.send("127.77.0.1:4309", "ping", [])
+        pair.scheduler.sleep(0.1)
+        pair.a.send("127.77.0.1:4309", "ping", [])
+        pair.scheduler.sleep(0.05)
+
+    pair.play(scenario)
+    assert pair.counters["cluster.messages_sent"] == 4
+    assert pair.counters["cluster.messages_dropped"] == 4
+
+
+def test_messages_that_wait_without_a_connection_are_dropped_in_time_and_their_peer_forgotten(monkeypatch):
+    """They stayed until something else was sent there, and with them the peer's place in a full table."""
+    monkeypatch.setattr(peer_connections, "MAX_QUEUE_TIME", 0.1)
+    monkeypatch.setattr(peer_connections, "IDLE_TIMEOUT", 0.2)
+    pair = Pair()
+
+    def scenario():
+        pair.a.send(B, "ping", [])
+        pair.scheduler.sleep(0.1)
+        peer = pair.a._peers[B]
+        peer.connection.stream.close()
+        pair.scheduler.sleep(0.05)
+        peer.enqueue(pair.scheduler.clock(), b"waits")
+        pair.scheduler.sleep(0.3)
+        pair.a.tick()
+        pair.a.tick()
+        assert B not in pair.a._peers
+        assert pair.counters["cluster.messages_dropped"] == 1
+
+    pair.play(scenario)
--- a/tests/cluster/test_raft.py
+++ b/tests/cluster/test_raft.py
@@ -358,3 +358,54 @@
         one.receive(0.1 * number, "b", kind, fields)
         one.tick(0.1 * number + 0.05)
     assert one.role in range(4) and one.last_position().last_index >= 1
+
+
+@pytest.mark.parametrize(
+    "command",
+    [
+        [],
+        [["begin"]],
+        ["admit"],
+        ["admit", "d", True],
+        ["admit", 5, 1],
+        ["dismiss"],
+        ["grant", "d", "b"],
+        ["grant", "d", "b", 1.5],
+        ["drop", None],
+        ["turn", "d"],
+        ["epoch", "9"],
+        ["hold"],
+        ["begin", 1],
+    ],
+)
+def test_entries_with_a_malformed_command_are_not_appended(command):
+    """An empty command raised IndexError; one with too few arguments stood in the log for good."""
+    one = voter()
+    assert one.receive(5.0, "b", "append", [2, 1, 1, 0, [[2, command]], 2]) is not None
+    assert one.last_position().last_index == 1 and one.durable.term == 2
+    one.receive(5.1, "b", "append", [2, 2, 1, 0, [[2, ["begin"]], [2, ["from a later version", 1]]], 3])
+    assert one.last_position().last_index == 3, "a command of an unknown kind is kept"
+
+
+@pytest.mark.parametrize(
+    ("kind", "fields"),
+    [
+        ("vote", [True, 1, 0, False]),
+        ("vote", [3, True, 0, False]),
+        ("vote", [3.0, 1, 0, False]),
+        ("vote", [3, 1, 0, 1]),
+        ("append", [True, 1, 1, 0, [], 1]),
+        ("append", [2, 1, True, 0, [], 1]),
+        ("append", [2, 1, 1, False, [], 1]),
+        ("append", [2, 1, 1, 0, [[True, ["begin"]]], 2]),
+        ("snapshot", [2, 1, True, 2, [[["a", 1]], [], 0, [], False]]),
+        ("snapshot", [2, 1, 9, 2, [[["a", True]], [], 0, [], False]]),
+        ("snapshot", [2, 1, 9, 2, [[["a", 1]], [], "7", [], False]]),
+    ],
+)
+def test_values_of_another_type_change_nothing_that_is_durable(kind, fields):
+    """True passed for 1 in terms and indexes between servers, and 3.0 for 3."""
+    one = voter()
+    before = one.durable
+    assert not [effect for effect in one.receive(5.0, "b", kind, fields) if not isinstance(effect, Send)]
+    assert one.durable == before
--- a/tests/cluster/test_singleton_tasks.py
+++ b/tests/cluster/test_singleton_tasks.py
@@ -104,3 +104,23 @@
     starts = [effect for effect in tasks.tick(1.3, 3) if isinstance(effect, StartCommand)]
     assert [effect.fencing_token for effect in starts] == [6]
     assert StopCommand("d") in tasks.tick(1.4, 4)
+
+
+def test_task_put_back_while_its_command_is_being_stopped_keeps_one_entry():
+    """A second entry took its place and started a second command beside the first, whose end removed both."""
+    tasks = SingletonTasks("a", 1)
+    tasks.configure(0.0, {"d": OPTIONS})
+    tasks.tick(1.0, 3)
+    tasks.grant_committed(1.2, 3, "d", 6)
+    tasks.tick(1.3, 3)
+    assert StopCommand("d") in tasks.configure(1.4, {})
+    tasks.configure(1.5, {"d": OPTIONS})
+    tasks.tick(1.6, 3)
+    tasks.grant_committed(1.7, 3, "d", 7)
+    assert not any(isinstance(effect, StartCommand) for effect in tasks.tick(1.8, 3)), (
+        "the first one still runs"
+    )
+    tasks.command_ended(1.9, "d", CommandOutcome(0, "told to stop", ""))
+    later = [effect for now in (2.0, 8.0, 200.0) for effect in tasks.tick(now, 3)]
+    starts = [effect for effect in later if isinstance(effect, StartCommand)]
+    assert [effect.fencing_token for effect in starts] == [7]
--- a/tests/control/test_control_requests.py
+++ b/tests/control/test_control_requests.py
@@ -53,3 +53,24 @@
 
 def test_longest_line_is_accepted() -> None:
     assert LineSplitter().feed(b"x" * 4096 + b"\n") == [b"x" * 4096]
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b'{"do":"hold","level":"a","for":' + b"9" * 400 + b"}",
+        b'{"do":"turns","what":"out","work":' + b"9" * 400 + b"}",
+        b'{"do":"turns","what":"out","work":-' + b"9" * 400 + b"}",
+    ],
+)
+def test_numbers_too_large_for_the_machine_are_rejected(line: bytes) -> None:
+    """They raised OverflowError, and the client got no answer at all."""
+    with pytest.raises(InvalidRequestError):
+        requests.parse_request(line)
+
+
+@pytest.mark.parametrize("written", [b"1", b"1.0", b"true"])
+def test_urgent_is_a_boolean_however_it_is_written(written: bytes) -> None:
+    request = requests.parse_request(b'{"do":"turns","what":"out","urgent":' + written + b"}")
+    assert isinstance(request, requests.MaintenanceRequest)
+    assert request.urgent is True
--- a/tests/degradation/test_conditions.py
+++ b/tests/degradation/test_conditions.py
@@ -1,8 +1,9 @@
 """Conditions are parsed, formatted back, and rejected by the name of the broken rule."""
 
 import pytest
-from degradation_support import condition
+from degradation_support import NO_READINGS, condition
 
+from valeturn.degradation.condition_tracker import ConditionTracker
 from valeturn.operator_config.value_types import InvalidValueError
 
 
@@ -42,3 +43,18 @@
     with pytest.raises(InvalidValueError) as wants:
         condition(text)
     assert wants.value.args[0] == rule
+
+
+def test_every_comparison_is_timed_also_while_an_alternative_before_it_holds():
+    """The second one had no reading while the first one held, so that it counted as holding since before."""
+    tracked = ConditionTracker(condition("memory > 90 % for 1 s or cores.busy > 80 % for 3 s"), False)
+    readings = [
+        (0.0, {"memory": 0.1, "cores.busy": 0.9}, False),
+        (1.0, {"memory": 0.95, "cores.busy": 0.9}, False),
+        (2.0, {"memory": 0.95, "cores.busy": 0.1}, True),
+        (3.0, {"memory": 0.95, "cores.busy": 0.9}, True),
+        (4.0, {"memory": 0.1, "cores.busy": 0.9}, False),
+        (6.0, {"memory": 0.1, "cores.busy": 0.9}, True),
+    ]
+    for now, signals, met in readings:
+        assert tracked.update(now, {**NO_READINGS, **signals}, {}) is met, now
--- a/tests/degradation/test_degradation_controller.py
+++ b/tests/degradation/test_degradation_controller.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from degradation_support import NO_READINGS, active_names, play, three_levels
+from degradation_support import NO_READINGS, active_names, condition, play, three_levels
 
 from valeturn.degradation.controller import MAX_CHANGES, TRANSITIONS, DegradationController, Input, State
 
@@ -184,3 +184,16 @@
     assert (State.NORMAL, Input.HIGHER_LEVEL_DUE_WHILE_WARMING_UP) not in TRANSITIONS
     assert (State.NORMAL, Input.RECOVERED_TO_LOWER_LEVEL) not in TRANSITIONS
     assert (State.PINNED, Input.HIGHER_LEVEL_DUE) not in TRANSITIONS
+
+
+def test_configuration_replaced_during_probation_lets_the_probation_go_on():
+    """A reload cleared the start of the probation but not its state: the next sweep raised TypeError."""
+    leave_at_once = condition("cores.busy < 60 %")
+    levels = [level._replace(leave=leave_at_once) for level in three_levels(minimum_stay=2.0)]
+    controller = DegradationController(levels, 0.0)
+    play(controller, lambda t: {"cores.busy": 0.85}, 2)
+    play(controller, lambda t: {"cores.busy": 0.1}, 1.5, 2.0)
+    assert controller.state is State.PROBATION and controller.spared_ratio(3.5) > 0
+    controller.configure(levels)
+    assert controller.spared_ratio(3.5) > 0
+    assert active_names(play(controller, lambda t: {"cores.busy": 0.1}, 4, 3.5)) == [None]
--- a/tests/operator_config/test_value_types.py
+++ b/tests/operator_config/test_value_types.py
@@ -36,3 +36,12 @@
     ):
         with pytest.raises(InvalidValueError):
             value_type.read(text)
+
+
+@pytest.mark.parametrize("text", ["9" * 400, "1" + "0" * 400, "9" * 5000])
+def test_numbers_too_large_for_the_machine_are_out_of_range(text):
+    """They raised OverflowError: the operator read that the file's reader had ended without a word."""
+    for value_type in (value_types.WholeNumber(1, 64), Quantity("a time", 0.1, 60.0)):
+        with pytest.raises(InvalidValueError) as raised:
+            value_type.read(text if isinstance(value_type, value_types.WholeNumber) else text + " s")
+        assert raised.value.rule == "out-of-range"
--- a/tests/result_store/test_recovery.py
+++ b/tests/result_store/test_recovery.py
@@ -171,3 +171,24 @@
         how, body = machine.ask(f"k{number}")
         assert body in (None, b"body %d" % number)
         assert how != "execute" or machine.store.retry_after() > 0, "forgotten, and told so by nobody"
+
+
+def test_snapshot_that_is_newer_than_the_log_is_noted_once(machine):
+    """It was noted, and its segment counted as damaged, twice."""
+    machine.limits = machine.limits._replace(segment=500)
+    machine.start()
+    for number in range(1, 30):
+        machine.complete(f"k{number}", number, bytes(100))
+    machine.store.compact_all()
+    machine.kill()
+    position = machine.store.position.segment
+    newer = [name for name in log_files(machine) if int(name[5:13]) >= position]
+    assert newer
+    for name in newer:
+        del machine.disk.now_names[name]
+    older = machine.files
+    older.create("kept-00000001.log")
+    machine.disk.crash()
+    machine.start()
+    assert [event for event in events(machine) if "snapshot" in event] == ["store_snapshot_ahead_of_log"]
+    assert [one.number for one in machine.store.recovered.damaged] == [position]
--- a/tests/result_store/test_store.py
+++ b/tests/result_store/test_store.py
@@ -272,3 +272,14 @@
     for number in range(1, 51):
         machine.complete(f"k{number}", number)
     assert machine.begin("more", 51) == "refused" and machine.store.retry_after() > 20
+
+
+def test_records_that_became_durable_while_the_store_closes_count_as_durable(machine):
+    """`close` waited for its worker and did not take what it had done: it told of a loss that was none."""
+    store = machine.start(held=True)
+    store.worker.step()
+    store.collect()
+    store.log_intent(1, store.key_digest("book", "a"), 30.0, bytes(8), "book")
+    store.flush()
+    assert store.close(0.0) is True
+    assert store.in_flight is None and store.not_durable() == []
