--- a/tests/maintenance/test_drain_schedule.py
+++ b/tests/maintenance/test_drain_schedule.py
@@ -164,6 +164,53 @@
     assert log.records()["a"].fencing_token in (0, 2)
 
 
+@pytest.mark.parametrize("state", [RecordState.GRANTED, RecordState.DRAINING, RecordState.DRAINED])
+@pytest.mark.parametrize("seconds_away", [0.0, 5.0])
+def test_server_killed_before_its_maintenance_was_allowed_waits_for_it_again(state, seconds_away):
+    """A release went by a server: `lab turns` with five servers, seeds 6, 10 and 23, beside load.
+
+    It was granted, killed before it could drain and started again by its supervisor. The log of the leader told
+    `granted`, `in work`, `warming`, `maintenance_ended` within two seconds; its own log has no `drain_started`.
+    The end of its life counted as the beginning of its maintenance, and its next life as the end.
+    """
+    record = requested("a")[0]._replace(state=state, incarnation=1, fencing_token=1)
+    log = ScheduledLog(record)
+    others = [make_view("b"), make_view("c")]
+    while log.now < seconds_away:
+        assert log.plan([make_view("a", alive=False), *others])["a"] == state, "its place stays taken"
+    returned = make_view("a", incarnation=2)
+    assert log.plan([returned, *others])["a"] == RecordState.WAITING
+    log.plan([returned, *others])
+    assert log.plan([returned, *others])["a"] == RecordState.GRANTED
+    assert (log.records()["a"].incarnation, log.records()["a"].fencing_token) == (2, 2)
+
+
+@pytest.mark.parametrize("keep_missing", [True, False])
+def test_server_lost_under_its_grant_is_overdue_like_one_that_does_not_return(keep_missing):
+    limits = LIMITS._replace(keep_missing=keep_missing)
+    record = requested("a")[0]._replace(state=RecordState.GRANTED, incarnation=1, fencing_token=1)
+    log = ScheduledLog(record, limits=limits)
+    views = [make_view("a", alive=False), make_view("b"), make_view("c")]
+    log.plan(views)
+    log.plan(views, 61.0)
+    assert ("a" in log.records()) is keep_missing
+    assert not keep_missing or log.records()["a"].overdue
+    if keep_missing:
+        views[0] = make_view("a", incarnation=2)
+        assert log.plan(views)["a"] == RecordState.WAITING
+        assert not log.records()["a"].overdue
+
+
+def test_request_that_was_cancelled_while_its_server_was_lost_ends_when_it_is_back():
+    record = requested("a")[0]._replace(
+        state=RecordState.DRAINING, incarnation=1, fencing_token=1, cancelled=True
+    )
+    log = ScheduledLog(record)
+    views = [make_view("a", incarnation=2), make_view("b"), make_view("c")]
+    log.plan(views)
+    assert "a" not in log.plan(views)
+
+
 def test_server_that_does_not_return_is_overdue_and_stays_unavailable_unless_the_file_says_otherwise():
     away = {"state": RecordState.IN_MAINTENANCE, "incarnation": 1, "fencing_token": 1}
     for keep_missing in (True, False):
