Drain schedule: a server killed under its grant waits for its maintenance again

Cause: the end of a life under a grant counted as the beginning of the maintenance, the next life as its end. Change: such a row keeps its place until the server is back, is overdue like others, then waits again.

--- a/valeturn/maintenance/drain_schedule.py
+++ b/valeturn/maintenance/drain_schedule.py
@@ -143,10 +143,10 @@
             return ScheduleInput.CANCELLED if record.cancelled else None
         if record.state in (RecordState.IN_MAINTENANCE, RecordState.RETURNING):
             return self._input_while_away(now, record, view)
-        if view is None or not view.alive or view.incarnation > record.incarnation:
-            return ScheduleInput.INCARNATION_ENDED
         if record.state == RecordState.WARMING_UP:
             return self._input_while_warming_up(now, record, view)
+        if view is None or not view.alive or view.incarnation > record.incarnation:
+            return self._input_when_lost(now, record, view)
         return self._input_before_maintenance(now, record, view, records, views)
 
     def _input_before_maintenance(
@@ -173,12 +173,25 @@
                 return ScheduleInput.RESTARTED
             if view.reported_state == RecordState.WAITING and self._grant_is_expired(record, view):
                 return ScheduleInput.GRANT_EXPIRED
+        return self._input_if_overdue(now, record)
+
+    def _input_when_lost(
+        self, now: float, record: MaintenanceRecord, view: ServerView | None
+    ) -> ScheduleInput | None:
+        """Return the input for a server whose life ended before its maintenance was allowed, or None."""
+        if view is not None and view.alive and self._is_fresh(now, view):
+            return ScheduleInput.RESTARTED
+        return self._input_if_overdue(now, record)
+
+    def _input_if_overdue(self, now: float, record: MaintenanceRecord) -> ScheduleInput | None:
         overdue = now - self.observed_states[record.server].since > record.work_duration
         return ScheduleInput.RETURN_OVERDUE if overdue and not record.overdue else None
 
     def _input_while_warming_up(
-        self, now: float, record: MaintenanceRecord, view: ServerView
+        self, now: float, record: MaintenanceRecord, view: ServerView | None
     ) -> ScheduleInput | None:
+        if view is None or not view.alive or view.incarnation > record.incarnation:
+            return ScheduleInput.INCARNATION_ENDED
         idle_time = now - self.observed_states[record.server].since
         proved = view.answer_count >= self.limits.min_answer_count or idle_time >= self.limits.idle_proof_time
         if self._is_fresh(now, view) and view.warmup >= 1.0 and proved and not view.overloaded:
--- a/valeturn/maintenance/record_transitions.py
+++ b/valeturn/maintenance/record_transitions.py
@@ -20,7 +20,7 @@
     DRAIN_COMPLETED = 3  # nothing is left to answer on the server
     MAINTENANCE_ALLOWED = 4
     CAPACITY_NEEDED = 5  # its maintenance has not begun, and the others can't do without it
-    INCARNATION_ENDED = 6
+    INCARNATION_ENDED = 6  # after its maintenance, while it warms up
     RESTARTED = 7  # a later incarnation of the server reports
     WARMUP_COMPLETED = 8  # that one is at full speed, and answers
     RETURN_OVERDUE = 9  # it has not come back within the duration of its maintenance
@@ -45,6 +45,9 @@
     effect: ScheduleEffect
 
 
+STATES_BEFORE_MAINTENANCE = (RecordState.GRANTED, RecordState.DRAINING, RecordState.DRAINED)
+"""A server in one of these has not been told that its maintenance may begin."""
+
 TRANSITIONS = {
     (RecordState.WAITING, ScheduleInput.SELECTED): Transition(RecordState.GRANTED, ScheduleEffect.GRANT),
     (RecordState.WAITING, ScheduleInput.CANCELLED): Transition(None, ScheduleEffect.REMOVE),
@@ -57,25 +60,26 @@
     (RecordState.GRANTED, ScheduleInput.DRAIN_COMPLETED): Transition(
         RecordState.DRAINED, ScheduleEffect.ADVANCE
     ),
-    (RecordState.GRANTED, ScheduleInput.INCARNATION_ENDED): Transition(
-        RecordState.IN_MAINTENANCE, ScheduleEffect.ADVANCE
-    ),
     (RecordState.DRAINING, ScheduleInput.DRAIN_COMPLETED): Transition(
         RecordState.DRAINED, ScheduleEffect.ADVANCE
     ),
-    (RecordState.DRAINING, ScheduleInput.INCARNATION_ENDED): Transition(
-        RecordState.IN_MAINTENANCE, ScheduleEffect.ADVANCE
-    ),
     (RecordState.DRAINED, ScheduleInput.MAINTENANCE_ALLOWED): Transition(
         RecordState.IN_MAINTENANCE, ScheduleEffect.ADVANCE
     ),
     (RecordState.DRAINED, ScheduleInput.CAPACITY_NEEDED): Transition(
         RecordState.RETURNING, ScheduleEffect.ADVANCE
     ),
-    (RecordState.DRAINED, ScheduleInput.INCARNATION_ENDED): Transition(
-        RecordState.IN_MAINTENANCE, ScheduleEffect.ADVANCE
-    ),
     (RecordState.DRAINED, ScheduleInput.CANCELLED): Transition(RecordState.RETURNING, ScheduleEffect.ADVANCE),
+    # The server was lost before its maintenance was allowed: its place stays taken until it is back, and then
+    # the request waits again.
+    **{
+        (state, ScheduleInput.RESTARTED): Transition(RecordState.WAITING, ScheduleEffect.REQUEUE)
+        for state in STATES_BEFORE_MAINTENANCE
+    },
+    **{
+        (state, ScheduleInput.RETURN_OVERDUE): Transition(state, ScheduleEffect.MARK_OVERDUE)
+        for state in STATES_BEFORE_MAINTENANCE
+    },
     (RecordState.IN_MAINTENANCE, ScheduleInput.RESTARTED): Transition(
         RecordState.WARMING_UP, ScheduleEffect.RECORD_RETURN
     ),
@@ -125,7 +129,7 @@
     if effect is ScheduleEffect.GRANT:
         return record._replace(incarnation=incarnation, bypass_count=0, overdue=False)
     if effect is ScheduleEffect.REQUEUE:
-        return record._replace(fencing_token=0, incarnation=0)
+        return record._replace(fencing_token=0, incarnation=0, overdue=False)
     if effect is ScheduleEffect.RECORD_RETURN:
         return record._replace(incarnation=incarnation, overdue=False)
     return record._replace(overdue=effect is ScheduleEffect.MARK_OVERDUE)
