--- a/tests/lab/test_floods.py
+++ b/tests/lab/test_floods.py
@@ -33,8 +33,8 @@
         ),
         (
             """import signal
-from valeturn.transport import held
-held.hold = lambda: None
+from valeturn.transport import early_signals
+early_signals.hold = lambda: None
 from valeturn.transport.signals import Signals
 Signals.run = lambda self: signal.signal(signal.SIGTERM, signal.SIG_DFL)""",
             "crashed",
--- a/valeturn/lab/commands.py
+++ b/valeturn/lab/commands.py
@@ -14,6 +14,15 @@
         raise SystemExit(f"valeturn: {name} wants a whole number, has {given[name]!r}") from None
 
 
+def seed_range(given):
+    """The seeds that `--seeds A-B` names, both ends among them; `--seeds A` is one."""
+    first, _, last = given["--seeds"].partition("-")
+    try:
+        return range(int(first), int(last or first) + 1)
+    except ValueError:
+        raise SystemExit(f"valeturn: --seeds wants A-B, has {given['--seeds']!r}") from None
+
+
 def run(given):
     """The exit code for docopt's words."""
     if given["restarts"]:
@@ -22,6 +31,10 @@
         return restarts(
             number(given, "--kills"), number(given, "--seed"), number(given, "--lanes"), given["--keep"]
         )
+    if given["soak"]:
+        from .soak import main as soak
+
+        return soak(seed_range(given), sys.stdout)
     if given["fleet-days"]:
         from .fleet_scenarios.main import days_named
         from .fleet_scenarios.main import main as fleet_days
--- a/valeturn/lab/floods.py
+++ b/valeturn/lab/floods.py
@@ -35,6 +35,7 @@
 from .restarts import configuration
 from .services import http, listen
 
+GRACE = 0.3  # s after the notice in which new requests are still served
 STOP = 1.5  # s from the notice to the stop: five times the grace, so that what rests is closed in it
 WAIT = 2.0  # s that a caller waits, as long as the cut-off
 # s within which what crosses a close is nobody's fault: the page's 50 ms, and a loaded machine's allowance
@@ -146,6 +147,7 @@
         raw = configuration(addresses, self.address, 1 + self.number)
         raw["name"], raw["stop_ms"] = f"n{self.number}", 1000 * STOP
         raw["limits"] = {"cores": 1.0, "memory_mb": 48, "sockets": 72}  # small, so that connections run out
+        raw["settings"]["rules"]["drain_grace_ms"] = 1000 * self.world.grace
         self.config.write_text(json.dumps(raw))
 
     def chance_of(self, choices):
@@ -319,6 +321,7 @@
         self.chance, self.calls, self.over = Chance(seed), 0, False
         self.sent, self.doubled, self.connections = [], [], []
         self.ledger, self.naming = Ledger(self.chance), Naming()
+        self.grace = GRACE
         self.servers = [Server(self, number) for number in range(servers)]
 
     def new_call(self):
--- a/valeturn/server/server.py
+++ b/valeturn/server/server.py
@@ -168,6 +168,8 @@
             InterruptedStartError: A termination signal came while the address was still in use.
             OSError: The address can't be listened on.
         """
+        if early_signals.leaving():
+            return self._end_before_listening()
         address = self.configuration.listen
         sock = listening(address, self._wait_for_address, self.scheduler.clock)  # signals are held until then
         self._handle_signals()
@@ -184,6 +186,15 @@
         self.log("server_stopped", {"clean": not self.failed})
         return EXIT_FAILED if self.failed else EXIT_OK
 
+    def _end_before_listening(self) -> int:
+        """End at once: a termination signal came during the start, and its time runs since then.
+
+        Nothing was read, so that nothing is owed. To listen now would be to serve past the grace.
+        """
+        self.log("shutdown_started", {"timeout_s": self.configuration.stop})
+        self.log("server_stopped", {"clean": True})
+        return EXIT_OK
+
     def _handle_signals(self) -> None:
         actions = {
             signal.SIGTERM: self.shutdown.begin,
--- a/valeturn/server/usage.py
+++ b/valeturn/server/usage.py
@@ -25,6 +25,7 @@
   valeturn fleet revive [--i-know] SOCKET
   valeturn fleet fenced-replace FILE [--fence N]
   valeturn lab restarts [--kills N] [--seed S] [--lanes L] [--keep DIR]
+  valeturn lab soak [--seeds A-B]
   valeturn lab store [--keys N] [--folder DIR]
   valeturn lab levels [--shape NAME] [--minutes M] [--servers N] [--seed S] [--seeds N] [--report DIR]
                       [--real] [--seconds T]
@@ -91,7 +92,7 @@
   --slow S         Share of servers that answer late [default: 0].
   --real           Real servers on loopback, beside the emulator with the same load.
   --against POLICIES  Played on the same demand: pool, or a file with an earlier module; with commas.
-  --seeds N        How many seeds, from --seed on [default: 1].
+  --seeds N        How many seeds, from --seed on; of a soak, which: A-B [default: 1].
   --report DIR     Write an HTML page with plots there (pip install -r requirements-lab.txt).
   --keep DIR       Keep the logs and folders there.
   --keys N         Keys to store [default: 100000].
