--- a/tests/server/test_graceful_shutdown.py
+++ b/tests/server/test_graceful_shutdown.py
@@ -164,8 +164,8 @@
 def test_server_that_is_told_to_stop_during_its_start_never_listens(installed):
     """Its time runs from the signal, not from the moment at which it gets round to it.
 
-    A soak (`lab soak`, seed 3) ran requests that came 0.55 s and more after the notice, with a grace of 0.3 s:
-    the signal was held until the server listened, and grace and stop were counted from there. A
+    A soak (`lab soak`, seed 3) ran requests that came 0.55 s after the notice; the grace is 0.3 s:
+    it was held until the server listened, and grace and stop were counted from there. A
     platform that kills at the stop would have killed it with requests unanswered.
     """
     at = installed(parties=False)
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -784,7 +784,7 @@
 
 @pytest.mark.parametrize("case", REQUESTS["no_part"], ids=lambda case: case["line"])
 def test_server_without_a_part_answers_as_in_earlier_version(case: dict[str, str]) -> None:
-    part = control_part.Part(SimpleNamespace(parts={}), None)
+    part = control_part.Component(SimpleNamespace(components={}), None)
     answer = part.reply(requests.parse_request(case["line"].encode()))
     assert answer.decode() == case["answer"]
 
--- a/valeturn/server/components/cluster.py
+++ b/valeturn/server/components/cluster.py
@@ -1,70 +1,106 @@
-"""A server's part of a fleet: links, who is there, the owner, votes on disk."""
+"""The cluster's node as a component of the server: peers, membership, leadership, its vote on disk."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
 from ...cluster.node import Fleet
 from ...cluster.vote_file import VoteFileError
 from ...control import answers, requests
+from ...control.requests import ClusterAction
 from ..configuration import ConfigurationError
-from . import Part as Base
+from . import Component as BaseComponent
+
+if TYPE_CHECKING:
+    from ..server import Server
+
+FAREWELL = 0.05  # s for the last messages to go out, where connections are there
 
-FAREWELL = 0.05  # s for the last words to go out, where links are there
 
+class Component(BaseComponent):
+    """This server's node of the cluster."""
 
-class Part(Base):
-    def __init__(self, server, built):
-        super().__init__(server, built)
-        c = server.configuration
+    def __init__(self, server: Server, options: Any) -> None:  # noqa: ANN401 - as the base class
+        super().__init__(server, options)
+        self.node = self._open_node()
+        fields = {"fleet": options.name, "listen": options.listen, "life": self.node.vote_life}
+        server.log("fleet_opened", fields)
+
+    def _open_node(self) -> Fleet:
+        server = self.server
+        options = self.options
+        configuration = server.configuration
         try:
-            self.fleet = Fleet(
-                built, c.name, server.scheduler, server.counters.add, server.log, c.seed, server.seams.fleet
+            return Fleet(
+                options,
+                configuration.name,
+                server.scheduler,
+                server.counters.add,
+                server.log,
+                configuration.seed,
+                server.seams.fleet,
             )
-        except VoteFileError as refused:
-            raise ConfigurationError("fleet", f"{built.folder}: {refused}") from None
+        except VoteFileError as error:
+            raise ConfigurationError("fleet", f"{options.folder}: {error}") from None
         except OSError as error:
-            raise ConfigurationError(
-                "fleet", f"{built.listen}, {built.folder or 'no folder'}: {error}"
-            ) from None
-        server.log(
-            "fleet_opened", {"fleet": built.name, "listen": built.listen, "life": self.fleet.vote_life}
-        )
+            where = f"{options.listen}, {options.folder or 'no folder'}"
+            raise ConfigurationError("fleet", f"{where}: {error}") from None
 
-    def start(self):
-        self.fleet.start()
+    def start(self) -> None:
+        """Start to take part."""
+        self.node.start()
 
-    def status(self):
-        return {"fleet": self.fleet.status()}
+    def status(self) -> dict[str, Any]:
+        """Return what `valeturn fleet status` shows."""
+        return {"fleet": self.node.status()}
 
-    def beliefs(self):
-        return {"fleet_" + name: value for name, value in self.fleet.figures().items()}
+    def gauges(self) -> dict[str, Any]:
+        """Return the node's figures."""
+        return {"fleet_" + name: value for name, value in self.node.figures().items()}
 
-    def leaving(self):
-        self.fleet.leave()
+    def begin_shutdown(self) -> None:
+        """Transfer leadership, where this server has it."""
+        self.node.leave()
 
-    def drained(self):
-        self.fleet.depart()
+    def drained(self) -> None:
+        """Leave the cluster, and let the message that says so go out."""
+        self.node.depart()
         self.server.scheduler.sleep(FAREWELL)
 
-    def close(self, patience):
-        self.fleet.close(patience)
+    def close(self, patience: float) -> None:
+        """Close connections, commands and the vote's file."""
+        self.node.close(patience)
 
-    def answer(self, request):
-        fleet = self.fleet
+    def answer(self, request: requests.ControlRequest) -> bytes | None:
+        """Answer requests about the cluster, and reject those with an outdated fencing token."""
         if isinstance(request, requests.FencedRequest):
-            if fleet.fencing_tokens.accept("control." + request.task, request.token):
-                return None
-            highest_seen = fleet.fencing_tokens.highest_seen["control." + request.task]
-            return answers.encode_rejection(
-                f"{request.token} is lower than {highest_seen}, which was seen here: another has taken over"
-            )
+            return self._check_fence(request)
         if not isinstance(request, requests.ClusterRequest):
             return None
-        why = {
-            "hand-over": lambda: fleet.hand_over(request.server),
-            "leave": fleet.leave_alone,
-            "revive": fleet.revive,
-            "admit": lambda: fleet.change_voters("admit", request.server),
-            "dismiss": lambda: fleet.change_voters("dismiss", request.server),
-        }[request.action]()
+        reason = self._carry_out(request)
         self.server.counters.add("fleet.asked." + request.action.replace("-", "_"))
-        return answers.encode_success() if why is None else answers.encode_rejection(why)
+        return answers.encode_success() if reason is None else answers.encode_rejection(reason)
+
+    def _check_fence(self, request: requests.FencedRequest) -> bytes | None:
+        """Return a rejection where a later lease holder has been seen, or None."""
+        tokens = self.node.fencing_tokens
+        name = "control." + request.task
+        if tokens.accept(name, request.token):
+            return None
+        highest_seen = tokens.highest_seen[name]
+        return answers.encode_rejection(
+            f"{request.token} is lower than {highest_seen}, which was seen here: another has taken over"
+        )
+
+    def _carry_out(self, request: requests.ClusterRequest) -> str | None:
+        """Carry out a request and return why it can't be, or None."""
+        node = self.node
+        actions: dict[ClusterAction, Callable[[], str | None]] = {
+            ClusterAction.TRANSFER_LEADERSHIP: lambda: node.hand_over(request.server),
+            ClusterAction.LEAVE: node.leave_alone,
+            ClusterAction.FORCE_BOOTSTRAP: node.revive,
+            ClusterAction.ADD_VOTER: lambda: node.change_voters("admit", request.server),
+            ClusterAction.REMOVE_VOTER: lambda: node.change_voters("dismiss", request.server),
+        }
+        return actions[request.action]()
--- a/valeturn/server/components/control.py
+++ b/valeturn/server/components/control.py
@@ -1,48 +1,53 @@
-"""The control socket as a part of the server; it sends each request to the part whose it is."""
+"""The control socket as a component of the server; it sends each request to the component whose it is."""
 
 from __future__ import annotations
 
 from ...control import answers, requests
 from ...control.errors import SocketInUseError
 from ...control.server import ControlServer
-from . import Part as Base
+from . import Component as BaseComponent
 
-NO_PART = {
+NOT_CONFIGURED: dict[type, str] = {
     requests.MetricsRequest: "no metrics are configured",
     requests.HoldLevelRequest: "no levels are configured",
     requests.ReleaseLevelRequest: "no levels are configured",
     requests.ClusterRequest: "this server is in no fleet",
     requests.MaintenanceRequest: "no turns are configured",
 }
+"""What a client is told whose request no component answers."""
 
 
-class Part(Base):
-    control = None
+class Component(BaseComponent):
+    """Listens on the control socket."""
 
-    def start(self):
+    control: ControlServer | None = None
+
+    def start(self) -> None:
+        """Listen; where that fails the server serves without it."""
         server = self.server
+        path = self.options.socket_path
         try:
-            self.control = ControlServer(
-                server.scheduler, self.built.socket_path, self.reply, server.counters.add
-            )
-        except (SocketInUseError, OSError) as error:  # the server serves without it
+            self.control = ControlServer(server.scheduler, path, self.reply, server.counters.add)
+        except (SocketInUseError, OSError) as error:
             server.counters.add("control.listen_failed")
-            server.log("control_listen_failed", {"socket": self.built.socket_path, "reason": str(error)})
+            server.log("control_listen_failed", {"socket": path, "reason": str(error)})
 
-    def reply(self, request):
+    def reply(self, request: requests.ControlRequest) -> bytes:
+        """Return the answer to a request."""
         if isinstance(request, requests.StatusRequest):
             return answers.encode_success(status=self.server.status.report())
         if isinstance(request, requests.FencedRequest):
-            fleet = self.server.parts.get("fleet")
-            if fleet is None:
+            cluster = self.server.components.get("fleet")
+            if cluster is None:
                 return answers.encode_rejection("this server is in no fleet")
-            return fleet.answer(request) or self.reply(request.request)
-        for part in self.server.parts.values():
-            answer = part.answer(request)
+            return cluster.answer(request) or self.reply(request.request)
+        for component in self.server.components.values():
+            answer = component.answer(request)
             if answer is not None:
                 return answer
-        return answers.encode_rejection(NO_PART[type(request)])
+        return answers.encode_rejection(NOT_CONFIGURED[type(request)])
 
-    def drained(self):
+    def drained(self) -> None:
+        """Stop listening."""
         if self.control is not None:
             self.control.close()
--- a/valeturn/server/components/degradation.py
+++ b/valeturn/server/components/degradation.py
@@ -1,53 +1,62 @@
-"""Levels of reduced service as a part of the server."""
+"""The degradation levels as a component of the server."""
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 from ...control import answers, requests
 from ...degradation.options import build_levels
 from ...dispatch.degradation_monitor import Reducing
 from ...dispatch.messages import Told
-from . import Part as Base
+from . import Component as BaseComponent
+
+if TYPE_CHECKING:
+    from ..server import Server
+
 
+class Component(BaseComponent):
+    """Measures, decides on the level, and tells the dispatcher of each change."""
 
-class Part(Base):
-    live = True
+    applies_changes = True
 
-    def __init__(self, server, built):
-        super().__init__(server, built)
+    def __init__(self, server: Server, options: Any) -> None:  # noqa: ANN401 - as the base class
+        super().__init__(server, options)
         names = server.configuration.names
-        self.reducing = Reducing(
-            server.scheduler.clock(),
-            build_levels(built, names),
-            names.settings,
-            server.counters.add,
-            server.log,
-        )
-
-    def figures(self):
-        return self.reducing.figures(self.server.scheduler.clock())
-
-    def status(self):
-        return {"level": self.figures()}
-
-    def counts(self):
-        return {"level": self.figures()}
-
-    def take(self, built):
-        self.built = built
-        self.reducing.decision.configure(build_levels(built, self.server.configuration.names))
-        self.server.core.put(Told(self.reducing.event()))  # what the present level gives up may have changed
-
-    def answer(self, request):
-        """Nothing about submissions is decided here: a level is held as a condition would enter it."""
+        levels = build_levels(options, names)
+        now = server.scheduler.clock()
+        self.monitor = Reducing(now, levels, names.settings, server.counters.add, server.log)
+
+    def _figures(self) -> dict[str, Any]:
+        figures: dict[str, Any] = self.monitor.figures(self.server.scheduler.clock())
+        return figures
+
+    def status(self) -> dict[str, Any]:
+        """Return the level that is active, since when and why."""
+        return {"level": self._figures()}
+
+    def counters(self) -> dict[str, Any]:
+        """Return the same as the status."""
+        return {"level": self._figures()}
+
+    def apply(self, options: Any) -> None:  # noqa: ANN401 - as the base class
+        """Replace the levels; what the active level restricts may have changed."""
+        self.options = options
+        self.monitor.decision.configure(build_levels(options, self.server.configuration.names))
+        self.server.core.put(Told(self.monitor.event()))
+
+    def answer(self, request: requests.ControlRequest) -> bytes | None:
+        """Hold or release a level; nothing about requests is decided here."""
         now = self.server.scheduler.clock()
         if isinstance(request, requests.HoldLevelRequest):
-            told, why = self.reducing.hold(now, request.level, request.seconds), f"no level {request.level}"
+            told = self.monitor.hold(now, request.level, request.seconds)
+            reason = f"no level {request.level}"
         elif isinstance(request, requests.ReleaseLevelRequest):
-            told, why = self.reducing.free(now), "no level is held by hand"
+            told = self.monitor.free(now)
+            reason = "no level is held by hand"
         else:
             return None
         if told is None:
-            return answers.encode_rejection(why)
+            return answers.encode_rejection(reason)
         for event in told:
             self.server.core.mailbox.push(Told(event))
         return answers.encode_success()
--- a/valeturn/server/components/metrics.py
+++ b/valeturn/server/components/metrics.py
@@ -1,28 +1,36 @@
-"""Metrics as a part of the server: a file that is replaced whole, and an answer on the control socket."""
+"""The metrics as a component of the server: a file that is replaced whole, and a control request."""
 
 from __future__ import annotations
 
 from ...control import answers, requests
 from ...metrics.exposition import MetricsExporter
-from . import Part as Base
+from . import Component as BaseComponent
 
 
-class Part(Base):
-    def start(self):
+class Component(BaseComponent):
+    """Writes the metrics to a file at an interval."""
+
+    metrics: MetricsExporter
+
+    def start(self) -> None:
+        """Start the task that writes."""
         self.metrics = MetricsExporter(self.server.status.report)
-        self.server.scheduler.spawn(self.write, name="metrics")
+        self.server.scheduler.spawn(self.write_periodically, name="metrics")
 
-    def write(self):
+    def write_periodically(self) -> None:
+        """Write the file, again and again; runs as a task."""
         while True:
             try:
-                self.metrics.write_file(self.built.file_path)
+                self.metrics.write_file(self.options.file_path)
                 self.server.counters.add("metrics.written")
             except OSError as error:
                 self.server.counters.add("metrics.write_failed")
-                self.server.log("metrics_write_failed", {"file": self.built.file_path, "reason": str(error)})
-            self.server.scheduler.sleep(self.built.interval_s)
+                fields = {"file": self.options.file_path, "reason": str(error)}
+                self.server.log("metrics_write_failed", fields)
+            self.server.scheduler.sleep(self.options.interval_s)
 
-    def answer(self, request):
+    def answer(self, request: requests.ControlRequest) -> bytes | None:
+        """Answer a request for the metrics."""
         if isinstance(request, requests.MetricsRequest):
             return answers.encode_success(text=self.metrics.render().decode())
         return None
--- a/valeturn/server/components/result_store.py
+++ b/valeturn/server/components/result_store.py
@@ -1,7 +1,9 @@
-"""The store of kept results as a part of the server."""
+"""The store of results as a component of the server."""
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 from ...dispatch.messages import DiskNews
 from ...result_store import limits, window_clock
 from ...result_store.directory import StoreDirectory
@@ -11,45 +13,61 @@
 from ...transport.streams import Stream
 from ...transport.worker_thread import Helper
 from ..configuration import ConfigurationError
-from . import Part as Base
+from . import Component as BaseComponent
+
+if TYPE_CHECKING:
+    from ..server import Server
 
 CLOSING = 1.0  # s at the end for what still waits for the disk
 
 
-class Part(Base):
-    def __init__(self, server, built):
-        super().__init__(server, built)
-        files, names = server.seams.files or StoreDirectory(built.folder), server.configuration.names
-        boot_id = window_clock.read_boot_id()
-        derived = limits.derive_limits(built.disk, built.memory, built.segment)
-        longest = max([w.window for w in names.settings.workloads], default=0.0) + 2 * names.settings.tick
+class Component(BaseComponent):
+    """Opens the store, and tells the dispatcher of what its worker thread has done."""
+
+    def __init__(self, server: Server, options: Any) -> None:  # noqa: ANN401 - as the base class
+        super().__init__(server, options)
+        self._worker = Helper()
         try:
-            if not files.prepare():
-                raise ConfigurationError("store", f"{built.folder}: another process has it")
-            environment = StoreEnvironment(
-                files,
-                Helper(),
-                lambda: window_clock.read_clocks(boot_id),
-                server.counters.add,
-                server.log,
-            )
-            self.kept = ResultStore(environment, StoreSettings(derived, built.retry, longest))
+            self.store = self._open_store()
         except (StoreRefusedError, OSError) as error:
-            raise ConfigurationError("store", f"{built.folder}: {error}") from None
-        server.log("store_opened", {**self.kept.figures(), "records_read": self.kept.recovered.record_count})
+            raise ConfigurationError("store", f"{options.folder}: {error}") from None
+        fields = {**self.store.figures(), "records_read": self.store.recovered.record_count}
+        server.log("store_opened", fields)
+
+    def _open_store(self) -> ResultStore:
+        server = self.server
+        options = self.options
+        files = server.seams.files or StoreDirectory(options.folder)
+        if not files.prepare():
+            raise ConfigurationError("store", f"{options.folder}: another process has it")
+        boot_id = window_clock.read_boot_id()
+        environment = StoreEnvironment(
+            files,
+            self._worker,
+            lambda: window_clock.read_clocks(boot_id),
+            server.counters.add,
+            server.log,
+        )
+        settings = server.configuration.names.settings
+        longest_window = max([one.window for one in settings.workloads], default=0.0) + 2 * settings.tick
+        derived = limits.derive_limits(options.disk, options.memory, options.segment)
+        return ResultStore(environment, StoreSettings(derived, options.retry, longest_window))
 
-    def start(self):
-        self.server.scheduler.spawn(self.hear_the_disk, name="disk")
+    def start(self) -> None:
+        """Start the task that listens to the worker thread."""
+        self.server.scheduler.spawn(self.follow_worker, name="disk")
 
-    def hear_the_disk(self):
-        """Tells the owner of the module that the store's helper has done something."""
-        stream = Stream(self.server.scheduler, self.kept.worker.end)
+    def follow_worker(self) -> None:
+        """Tell the dispatcher whenever the store's worker thread has done something; runs as a task."""
+        stream = Stream(self.server.scheduler, self._worker.end)
         while isinstance(stream.read(), bytes):
             self.server.core.put(DiskNews())
 
-    def beliefs(self):
-        return {"kept_" + name: value for name, value in self.kept.figures().items()}
+    def gauges(self) -> dict[str, Any]:
+        """Return the store's figures."""
+        return {"kept_" + name: value for name, value in self.store.figures().items()}
 
-    def close(self, patience):
-        whole = self.kept.close(min(CLOSING, patience))
-        self.server.log("store_closed", {"whole": whole, **self.kept.figures()})
+    def close(self, patience: float) -> None:
+        """Write what waits for the disk."""
+        complete = self.store.close(min(CLOSING, patience))
+        self.server.log("store_closed", {"whole": complete, **self.store.figures()})
--- a/valeturn/server/server.py
+++ b/valeturn/server/server.py
@@ -31,7 +31,7 @@
 
 if TYPE_CHECKING:
     from ..operator_config.schema import OperatorConfig
-    from .components import Part
+    from .components import Component
     from .logs import Log
 
 # Objects between searches for reference cycles, which few things here leave: some hundred KB at the most.
@@ -114,7 +114,7 @@
         count = self.counters.add
         random = Chance(configuration.seed)
         self.link = ExecutorLink(scheduler, configuration.executor, random, self._post, count)
-        self.parts = self._open_components()
+        self.components = self._open_components()
         self.ledger = Ledger(scheduler, configuration.ledger, self.limits.calls, self._post, count)
         self.gateways = Gateways(scheduler, self._post, configuration.names, self.limits, count)
         self.reporter = Reporter(scheduler, configuration.naming, configuration.name, random, count)
@@ -126,22 +126,22 @@
             self._make_controller,
             Parties(self.link, self.ledger, self.gateways, self.reporter),
             Telling(count, self.counters.times, self.log),
-            getattr(self.parts.get("store"), "kept", None),
-            getattr(self.parts.get("level"), "reducing", None),
-            getattr(self.parts.get("duty"), "sharing", None),
+            getattr(self.components.get("store"), "store", None),
+            getattr(self.components.get("level"), "monitor", None),
+            getattr(self.components.get("duty"), "sharing", None),
         )
         self.core.trace = self.log if verbose else None
 
     def _post(self, message: object) -> None:
         self.core.put(message)
 
-    def _open_components(self) -> dict[str, Part]:
+    def _open_components(self) -> dict[str, Component]:
         """Return the components by section; without an operator's file none of their code is loaded."""
         if self.options is None:
             return {}
         from . import components
 
-        opened: dict[str, Part] = components.open_all(self, self.options)
+        opened: dict[str, Component] = components.open_all(self, self.options)
         return opened
 
     def _make_controller(self, executor_cold: bool, executor_age: float) -> Rules:
@@ -208,8 +208,8 @@
         self.scheduler.spawn(self.core.run, name="core", late=True)
         self.scheduler.spawn_lasting(self.check_connections, name="sweep")
         self.scheduler.spawn_lasting(self.status.print_periodically, name="counters")
-        for part in self.parts.values():
-            part.start()
+        for component in self.components.values():
+            component.start()
 
     def _wait_for_address(self, seconds: float) -> None:
         """Wait for a process that has just ended and may still hold the address.
@@ -250,9 +250,9 @@
         new = {} if options is None else options.sections
         changed = [name for name in {**old, **new} if old.get(name) != new.get(name)]
         for name in changed:
-            if name not in self.parts or not self.parts[name].takes(new.get(name)):
+            if name not in self.components or not self.components[name].can_apply(new.get(name)):
                 return False
         for name in changed:
-            self.parts[name].take(new.get(name))
+            self.components[name].apply(new.get(name))
         self.options = options
         return True
--- a/valeturn/server/shutdown.py
+++ b/valeturn/server/shutdown.py
@@ -43,8 +43,8 @@
             # Whatever comes in between: a process that is still there at its end is killed, which is worse.
             server.scheduler.call_later(self.duration - self.margin / 4, server.scheduler.stop)
             server.scheduler.spawn(self.drain, name="drain")
-        for part in server.parts.values():
-            part.leaving()
+        for component in server.components.values():
+            component.begin_shutdown()
 
     def drain(self) -> None:
         """Answer everything, close all connections, then stop the loop; runs as a task after `begin`.
@@ -61,12 +61,12 @@
         self._serve_through_grace(begun_at)
         self._answer_all(last)
         self._close_connections(last)
-        for part in self._server.parts.values():
-            part.drained()
+        for component in self._server.components.values():
+            component.drained()
         self._log_drained(begun_at)
         self._server.scheduler.stop()
-        for part in self._server.parts.values():
-            part.close(max(LEAST_CLOSE_TIMEOUT, end - self.margin / 2 - clock()))
+        for component in self._server.components.values():
+            component.close(max(LEAST_CLOSE_TIMEOUT, end - self.margin / 2 - clock()))
 
     def _serve_through_grace(self, begun_at: float) -> None:
         scheduler = self._server.scheduler
--- a/valeturn/server/status.py
+++ b/valeturn/server/status.py
@@ -33,7 +33,11 @@
             "counters": groups,
             "times_ms": server.counters.times.means(),
             "level": None,
-            **{key: value for part in server.parts.values() for key, value in part.status().items()},
+            **{
+                key: value
+                for component in server.components.values()
+                for key, value in component.status().items()
+            },
         }
 
     def gauges(self) -> dict[str, object]:
@@ -48,7 +52,11 @@
             "report_age_s": server.scheduler.clock() - server.reporter.reported_at,
             "link_up": int(server.link.up),
             "cpu_share": server.core.pace.share,
-            **{key: value for part in server.parts.values() for key, value in part.beliefs().items()},
+            **{
+                key: value
+                for component in server.components.values()
+                for key, value in component.gauges().items()
+            },
         }
 
     def print_counters(self) -> None:
@@ -62,6 +70,6 @@
         while True:
             server.scheduler.sleep(PRINT_PERIOD)
             self.print_counters()
-            for part in server.parts.values():
-                for group, figures in part.counts().items():
+            for component in server.components.values():
+                for group, figures in component.counters().items():
                     server.log("counters", {"group": group, **figures})
