--- a/tests/lab/test_fault_injection_maintenance.py
+++ b/tests/lab/test_fault_injection_maintenance.py
@@ -110,7 +110,9 @@
     fleet.go_on(first)
     await until_none_left(fleet)
     supervisor.task.cancel()
-    assert went(fleet) == [first, second]
+    # Its first life ended past its stop, not drained, nor told that its maintenance may begin: it goes again.
+    assert went(fleet) == [first, first, second]
+    assert [event for _, event, _ in events(fleet.servers[first])].count("drain_ended") == 1
 
 
 @case(duties=settings(more="empty = sleep 30\n"))
--- a/tests/maintenance/test_committed_records.py
+++ b/tests/maintenance/test_committed_records.py
@@ -4,13 +4,14 @@
 
 import pytest
 
+from valeturn.cluster.node import KnownState
 from valeturn.maintenance.committed_records import CommittedRecords
 from valeturn.maintenance.records import InvalidRecordError, MaintenanceRecord
 
 
 def make_node(*encoded):
     log_state = SimpleNamespace(maintenance_records=encoded, maintenance_held=True)
-    return SimpleNamespace(facts=lambda: (1, log_state, "a"))
+    return SimpleNamespace(known_state=lambda: KnownState(1, log_state, "a"))
 
 
 def test_records_are_decoded_once_for_each_state_of_the_log():
--- a/tests/maintenance_support.py
+++ b/tests/maintenance_support.py
@@ -4,6 +4,7 @@
 
 from valeturn.cluster.member_messages import ALIVE
 from valeturn.cluster.member_table import Member
+from valeturn.cluster.node import KnownState
 from valeturn.cluster.replicated_state import ClusterState, decode_command
 from valeturn.maintenance.coordinator import MaintenanceCoordinator
 from valeturn.maintenance.drain_schedule import DrainSchedule, MaintenanceLimits
@@ -79,8 +80,8 @@
             task_processes=SimpleNamespace(environment={}),
             others=[],
             clock=lambda: self.now,
-            facts=lambda: (None, self.log_state, "leader"),
-            owner_now=lambda: "leader",
+            known_state=lambda: KnownState(0, self.log_state, "leader"),
+            current_leader=lambda: "leader",
             leads=lambda now: False,
             membership=SimpleNamespace(local=self.make_member("leader", 1), members={}),
         )
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -126,7 +126,7 @@
             return End(self, *words)
 
         seams = node.Seams(clock, float, None, None, wall, make_end)
-        fleet = node.Fleet(options, name, self, ignore, ignore, number, seams)
+        fleet = node.ClusterNode(options, name, self, ignore, ignore, number, seams)
         duty = SingletonTaskOptions("share-calls", None, None, 60.0, 0.0, "number", 40, 0.5)
         fleet.configure({"calls": duty})
         fleet.share_calls("calls", duty, lambda: 2.5 + 10.0 * number)
@@ -137,7 +137,7 @@
         )
         self.fleets[name] = fleet
         if fleet.bootstrap is not None and fleet.bootstrap.complete_if_alone():
-            fleet.found()
+            fleet.complete_bootstrap()
 
     def stop(self, name: str) -> None:
         """The process is killed."""
@@ -163,7 +163,7 @@
                 end.take(data, sender)
 
     def owner(self) -> str:
-        (name,) = [name for name, fleet in self.fleets.items() if fleet.owner_now() == name]
+        (name,) = [name for name, fleet in self.fleets.items() if fleet.current_leader() == name]
         return name
 
     # What the servers ask of a scheduler.
@@ -241,7 +241,7 @@
     assert asked.pause_grants(False) is None
     network.run(1.0)
     # The owner hands over, and one leaves.
-    assert network.fleets[network.owner()].hand_over() is None
+    assert network.fleets[network.owner()].leadership_transfer.begin() is None
     network.run(4.0)
     network.fleets["n3"].leave()
     network.fleets["n3"].depart()
--- a/valeturn/cluster/call_quota.py
+++ b/valeturn/cluster/call_quota.py
@@ -31,14 +31,14 @@
 
     name: str
     options: Any
-    chance: Any
+    random_source: Any
     fencing_tokens: FencingTokens
     clock: Callable[[], float]
 
     def acts(self, name: str) -> int | None:
         """Return the fencing token under which this server may act for a singleton task now."""
 
-    def facts(self) -> tuple[int, ClusterState, str | None]:
+    def known_state(self) -> tuple[int, ClusterState, str | None]:
         """Return the term, the replicated state and the leader as far as they are known here."""
 
     def send(self, name: str, kind: str, fields: list[Any]) -> None:
@@ -89,7 +89,7 @@
         """Send a request to the leader when the next one is due."""
         if now < self.next_request_at:
             return
-        spread = 1 - JITTER + 2 * JITTER * self.node.chance.share()
+        spread = 1 - JITTER + 2 * JITTER * self.node.random_source.share()
         self.next_request_at = now + self.options.request_interval * spread
         need, sent_at, current_grant = self.client.request(now, self.need())
         leader = self._lease_holder()
@@ -155,7 +155,7 @@
 
     def _lease_holder(self) -> str | None:
         """Return the server that splits the limit, as far as it is known here, or else the leader."""
-        _, replicated_state, leader = self.node.facts()
+        _, replicated_state, leader = self.node.known_state()
         lease = replicated_state.task_lease(self.name)
         return leader if lease is None else lease.holder
 
--- a/valeturn/cluster/node.py
+++ b/valeturn/cluster/node.py
@@ -1,621 +1,664 @@
-"""One server's part of a fleet, on the loop: carries out what membership, founding, owner, duties and shares
-decide.
+"""One server's node of the cluster: carries out on the loop what membership, Raft, tasks and quota decide.
 
-Everything goes through one object in the loop's own turns: nothing here waits but the links' tasks, and the
-disk's thread. An effect on behalf of the fleet looks at the lease right before it is had (`acts`).
+Everything goes through one object in the loop's own turns: nothing here waits but the tasks of connections
+and the thread of the disk. An effect on behalf of the cluster looks at the lease right before it is had
+(`acts`). What operators ask for stands in leadership.py and voter_changes.py, what they are shown in
+node_status.py.
 """
 
 from __future__ import annotations
 
 import time
-from typing import NamedTuple
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any, ClassVar, NamedTuple, Protocol
 
+from ..transport.scheduler import Scheduler
 from ..transport.seeded_random import Chance
 from ..transport.streams import Stream, connect
 from ..transport.worker_thread import Helper
-from . import limits, singleton_tasks, task_processes, vote_file
+from . import codec, limits, node_status, singleton_tasks, task_processes, vote_file
 from .bootstrap import Bootstrap, voter_set_to_wire
 from .call_quota import GRANT_MESSAGE, REQUEST_MESSAGE, CallQuota
 from .fencing import FencingTokens
-from .member_messages import ALIVE, LEFT, SUSPECTED
-from .member_table import STATE_NAMES, Effect
+from .leadership import LeadershipTransfer
+from .member_messages import LEFT, OutgoingMessage
+from .member_table import Effect as MemberEffect
+from .member_table import MemberChange
 from .membership import MemberIdentity, Membership
+from .options import ClusterOptions
 from .peer_connections import LocalEndpoint, PeerConnections
-from .raft import ROLE_NAMES, Committed, RaftNode, Send
+from .raft import ROLE_NAMES, Committed, Effect, RaftNode, Send
+from .raft_log import DurableState
 from .replicated_state import ADD_VOTER, GRANT_LEASE, REMOVE_VOTER, ClusterState
+from .singleton_tasks import CommandOutcome
+from .task_options import SingletonTaskOptions
 from .vote_persistence import VotePersistence
-
-TICKS = 12  # a lease
-# of the lease between words of one that remembers nothing, and between facts for those that don't vote
-TELL = 0.5
-REMIND = 5.0  # s after which facts that have not changed are told again: a message may be lost
-ASKED = 3  # others, by chance, that one without a vote tells so while it knows no owner
-
-
-def boot_clock():
-    """s since the machine came up, through suspend: no wall clock decides anything here."""
+from .voter_changes import VoterChanges
+
+TICKS_PER_LEASE = 12
+LONGEST_TICK = 0.1  # s, whatever the lease
+# Leases between announcements of a server without durable state, and of the state to those that do not vote.
+ANNOUNCEMENT_INTERVAL = 0.5
+REMINDER_INTERVAL = 5.0  # s after which a state that has not changed is sent again: a message may be lost
+RANDOM_RECEIVERS = 3  # of the announcement of a server that knows no leader
+BOOTSTRAP_REMINDER_TIME = 600.0  # s after its start for which a founder tells the others whom it founded with
+RANDOM_WARM_UP_DRAWS = 8  # the first numbers of near seeds are alike
+CLOSE_TIMEOUT = 0.01  # s that the disk's thread has at least
+NEVER = -1e9
+BLANK_MESSAGE = "blank"
+STATE_MESSAGE = "facts"
+ROW_LENGTH = 3  # of a server's row in an announcement: name, incarnation, lowest fencing token
+
+Log = Callable[..., None]
+
+
+def boot_clock() -> float:
+    """Return the seconds since the machine came up, through suspend: no wall clock decides anything here."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class Seams(NamedTuple):
-    """What a laboratory may put in other things' place."""
-
-    clock: object = boot_clock
-    to_boot: object = float  # a moment of `clock` by the boot clock
-    dial: object = connect
-    folder: object = vote_file.VoteDirectory
-    wall: object = time.time  # for the number of a life alone
-    peer_connections: object = PeerConnections
-
-
-class Fleet:
-    def __init__(self, options, name, scheduler, count, log, seed, seams=None):
-        """Raises VoteFileError or OSError where this server can't take part."""
-        self.seams = seams = seams or Seams()
-        self.options, self.name, self.scheduler = options, name, scheduler
-        self.count, self.log = count, log
-        self.clock = seams.clock
-        self.helper = self.vote_folder = None
-        life, kept = int(1000 * self.seams.wall()), None
-        if options.folder is not None:
-            self.vote_folder = seams.folder(options.folder)
-            self.vote_folder.lock()
-            data = self.vote_folder.read()
-            if data is not None:
-                found = vote_file.decode(data, options.name, name, options.listen)
-                life_kept, kept = found
-            self.helper = Helper()
-        # The vote's life is its folder's; each start has one of its own for who is there.
-        self.vote_life = life if kept is None else life_kept
-        self.chance = chance = Chance(seed ^ life)
-        for _ in range(8):
-            chance.share()
+    """What a laboratory may put in place of clocks, connections and the vote's directory."""
+
+    clock: Callable[[], float] = boot_clock
+    to_boot: Callable[[float], float] = float  # a time of `clock` by the boot clock
+    dial: Any = connect
+    folder: Any = vote_file.VoteDirectory
+    wall: Callable[[], float] = time.time  # for the number of an incarnation alone
+    peer_connections: Any = PeerConnections
+
+
+class KnownState(NamedTuple):
+    """What this server knows of the cluster's state."""
+
+    term: int
+    state: ClusterState
+    leader: str | None
+
+
+class ReceivedState(NamedTuple):
+    """What a leader sent to a server that does not vote."""
+
+    known: KnownState
+    received_at: float
+
+
+class SentState(NamedTuple):
+    """Which state a server that does not vote was sent last."""
+
+    term: int
+    commit_index: int
+    sent_at: float
+
+
+class Subsystem(Protocol):
+    """What stands on top of the cluster, with messages of its own."""
+
+    KINDS: ClassVar[dict[str, Callable[..., None]]]
+
+    def tick(self, now: float, term: int | None) -> None:
+        """Let time pass; `term` is that of this server's leadership, or None."""
+
+
+class ClusterNode:
+    """This server's membership, its vote and leadership, its singleton tasks and its quota of calls."""
+
+    def __init__(  # noqa: PLR0913, PLR0915, PLR0917 - what a server has for each of its components
+        self,
+        options: ClusterOptions,
+        name: str,
+        scheduler: Scheduler,
+        count: Callable[[str], None],
+        log: Log,
+        seed: int,
+        seams: Seams | None = None,
+    ) -> None:
+        """Open the vote's directory and listen for peers.
+
+        Raises:
+            VoteFileError: The stored vote can't be used.
+            OSError: The address or the directory can't be used.
+        """
+        self.seams = seams or Seams()
+        self.options = options
+        self.name = name
+        self.scheduler = scheduler
+        self.count = count
+        self.log = log
+        self.clock = self.seams.clock
+        self.worker: Helper | None = None
+        self.vote_directory: vote_file.VoteDirectory | None = None
+        generation = int(1000 * self.seams.wall())
+        stored = self._read_vote()
+        # The vote's incarnation is its directory's; each start has a generation of its own as a member.
+        self.vote_life = generation if stored is None else stored.incarnation
+        self.random_source = Chance(seed ^ generation)
+        for _ in range(RANDOM_WARM_UP_DRAWS):
+            self.random_source.share()
         now = self.clock()
         self.started_at = now
-        identity = MemberIdentity(name, options.listen, options.zone, life)
-        self.membership = Membership(identity, options.seeds, chance, now, options.probe)
-        self.owner = self.make_owner(durable=kept)
-        self.bootstrap = None
-        if name in options.voters and self.owner.durable.state_lost and not self.owner.state.voters:
-            floor = 0 if options.folder is not None else int(seams.wall()) << limits.EPOCH_BITS
-            self.bootstrap = Bootstrap(name, self.vote_life, floor, options.voters)
-        self.vote = VotePersistence(self.vote_folder, self.helper, self.encode_vote)
+        identity = MemberIdentity(name, options.listen, options.zone, generation)
+        self.membership = Membership(identity, options.seeds, self.random_source, now, options.probe)
+        self.raft = self._make_raft(durable=None if stored is None else stored.state)
+        self.bootstrap = self._make_bootstrap()
+        self.vote = VotePersistence(self.vote_directory, self.worker, self._encode_vote)
         self.singleton_tasks = singleton_tasks.SingletonTasks(name, self.vote_life)
         self.fencing_tokens = FencingTokens()
-        self.others = []  # subsystems on top: kinds, tick(now, term), each with messages of its own
-        self.call_quota = None  # its share of them, where a duty splits them
+        self.others: list[Subsystem] = []
+        self.call_quota: CallQuota | None = None  # where a singleton task shares the calls
         environment = {"VALETURN_SERVER": name, "VALETURN_FLEET": options.name}
-        self.task_processes = task_processes.TaskProcesses(scheduler, environment, self.run_ended)
-        self.wanted = {}  # name -> life of those that would vote
-        self.heard_facts = None  # what a server that does not vote was told: (term, facts, owner, when)
-        self.told_at, self.told_facts = -1e9, {}  # name -> ((term, commit), when) that it was told last
-        self.told_role, self.silenced, self.unowned_since = None, None, now
-        self.elections, self.closed, self.leaving = 0, False, False
-        self.handing = None  # to whom it hands over, "" to any, while its commands end
-        self.founded_set, self.asked_in = None, set()  # as told to the others; names that an operator admits
-        local = LocalEndpoint(options.name, options.listen, self.who, self.hear)
-        self.peer_connections = seams.peer_connections(scheduler, local, chance, count, seams.dial)
-
-    def who(self):
+        self.task_processes = task_processes.TaskProcesses(scheduler, environment, self._command_ended)
+        self.leadership_transfer = LeadershipTransfer(self)
+        self.voter_changes = VoterChanges(self)
+        self.elections = 0
+        self.silenced: str | None = None  # why it neither votes nor acts any more
+        self.closed = False
+        self.leaving = False
+        self._received_state: ReceivedState | None = None
+        self._sent_states: dict[str, SentState] = {}  # by server
+        self._announced_at = NEVER
+        self._logged_role: tuple[int, int | None] | None = None  # role, and term of the leadership
+        self._leaderless_since = now
+        self._bootstrap_voters: Any = None  # as announced to the others
+        local = LocalEndpoint(options.name, options.listen, self._identify, self.receive)
+        self.peer_connections = self.seams.peer_connections(
+            scheduler, local, self.random_source, count, self.seams.dial
+        )
+
+    def _read_vote(self) -> vote_file.StoredVote | None:
+        """Lock the vote's directory and return what it holds; None without a directory or a file in it."""
+        options = self.options
+        if options.folder is None:
+            return None
+        directory: vote_file.VoteDirectory = self.seams.folder(options.folder)
+        self.vote_directory = directory
+        directory.lock()
+        data = directory.read()
+        stored = None
+        if data is not None:
+            stored = vote_file.decode(data, options.name, self.name, options.listen)
+        self.worker = Helper()
+        return stored
+
+    def _make_bootstrap(self) -> Bootstrap | None:
+        """Return the bootstrap of a voter named in the file that has no durable state, or None."""
+        options = self.options
+        if self.name not in options.voters or not self.raft.durable.state_lost or self.raft.state.voters:
+            return None
+        lowest_token = 0
+        if options.folder is None:
+            lowest_token = int(self.seams.wall()) << limits.EPOCH_BITS
+        return Bootstrap(self.name, self.vote_life, lowest_token, options.voters)
+
+    def _make_raft(self, **how: Any) -> RaftNode:  # noqa: ANN401 - as RaftNode takes them
+        return RaftNode(
+            self.name, self.vote_life, self.options.lease, self.random_source, self.clock(), **how
+        )
+
+    def _identify(self) -> tuple[str, int]:
         return self.name, self.membership.local.generation
 
-    def encode_vote(self, kept):
-        o = self.options
-        return vote_file.encode(o.name, self.name, o.listen, self.vote_life, kept)
+    def _encode_vote(self, durable: DurableState) -> bytes:
+        options = self.options
+        return vote_file.encode(options.name, self.name, options.listen, self.vote_life, durable)
 
-    def start(self):
-        if self.helper is not None:
-            self.scheduler.spawn(self.hear_the_disk, name="vote")
-        self.scheduler.spawn(self.run, name="fleet")
+    def start(self) -> None:
+        """Start the node's tasks."""
+        if self.worker is not None:
+            self.scheduler.spawn(self._follow_worker, self.worker, name="vote")
+        self.scheduler.spawn(self._run, name="fleet")
         if self.bootstrap is not None and self.bootstrap.complete_if_alone():
-            self.found()
+            self.complete_bootstrap()
+
+    # ---- queries
+
+    def leads(self, now: float) -> bool:
+        """Return whether this server is the leader and may act."""
+        return not self.silenced and self.vote.failed_at is None and self.raft.holds_lease(now)
+
+    def acts(self, name: str) -> int | None:
+        """Return the fencing token under which this server may act for a singleton task now, or None.
+
+        To be asked after every wait and before every effect.
+        """
+        task = self.singleton_tasks.tasks.get(name)
+        if task is None or not self.leads(self.clock()) or not task.is_held(self.raft.durable.term):
+            return None
+        return task.fencing_token
+
+    def known_state(self) -> KnownState:
+        """Return the cluster's state as far as it is known here."""
+        if self.raft.may_vote() or self._received_state is None:
+            return KnownState(self.raft.durable.term, self.raft.state, self.raft.leader)
+        return self._received_state.known
+
+    def current_leader(self) -> str | None:
+        """Return the leader's name as far as it is known here, or None."""
+        return self.name if self.leads(self.clock()) else self.known_state().leader
+
+    def not_the_leader(self) -> str:
+        """Return the reason for which a request to the leader is rejected here."""
+        return f"{self.name} is not the owner; {self.known_state().leader or 'nobody'} is"
+
+    def random_member(self, names: Sequence[str]) -> str:
+        """Return one of these."""
+        return names[int(self.random_source.share() * len(names))]
 
     # ---- time
 
-    def run(self):
+    def _run(self) -> None:
         while not self.closed:
             self.tick()
-            self.scheduler.sleep(min(0.1, self.options.lease / TICKS))
+            self.scheduler.sleep(min(LONGEST_TICK, self.options.lease / TICKS_PER_LEASE))
 
-    def tick(self):
+    def tick(self) -> None:
+        """Do what is due."""
         now = self.clock()
-        self.carry_membership(self.membership.tick(now))
+        self._carry_out_membership(self.membership.tick(now))
         self.peer_connections.tick()
         if self.silenced:
             return
-        if self.vote.failed_at is not None:
-            if self.vote.is_retry_due(now):
-                self.vote.write(self.owner.durable)
-        else:
-            self.carry(self.owner.tick(now))
-        term = self.owner.durable.term if self.leads(now) else None
-        self.say_role(now, term)
-        if self.handing is not None:
-            self.go_on_handing_over(now, term)
+        if self.vote.failed_at is None:
+            self.carry_out(self.raft.tick(now))
+        elif self.vote.is_retry_due(now):
+            self.vote.write(self.raft.durable)
+        term = self.raft.durable.term if self.leads(now) else None
+        self._log_leadership(now, term)
+        if self.leadership_transfer.under_way:
+            self.leadership_transfer.go_on(now, term)
             term = None
-        if now - self.told_at >= TELL * self.options.lease:
-            self.told_at = now
-            self.tell(now, term)
+        self._tick_leadership(now, term)
+        if self.leaving and term is not None and not self.leadership_transfer.under_way:  # elected meanwhile
+            self.leadership_transfer.begin()
+
+    def _tick_leadership(self, now: float, term: int | None) -> None:
+        """Do what depends on the term of this server's leadership."""
+        if now - self._announced_at >= ANNOUNCEMENT_INTERVAL * self.options.lease:
+            self._announced_at = now
+            self._announce(now, term)
         if term is not None:
-            self.admit(now)
-        self.carry_duties(self.singleton_tasks.tick(now, term))
-        self.tell_guards()
+            self.voter_changes.tick(now)
+        self.carry_out_tasks(self.singleton_tasks.tick(now, term))
+        self._extend_leases()
         if self.call_quota is not None:
             self.call_quota.tick(now)
         for other in self.others:
             other.tick(now, term)
-        if self.leaving and term is not None and self.handing is None:  # elected again meanwhile
-            self.hand_over()
 
-    def say_role(self, now, term):
-        role = self.owner.role
-        if (role, term) != self.told_role:
-            if term is not None and (self.told_role is None or self.told_role[1] != term):
+    def _log_leadership(self, now: float, term: int | None) -> None:
+        role = self.raft.role
+        if (role, term) != self._logged_role:
+            logged_term = None if self._logged_role is None else self._logged_role[1]
+            if term is not None and logged_term != term:
                 self.elections += 1
-                self.log("fleet_owner", {"term": term, "without_s": round(now - self.unowned_since, 3)})
-            elif self.told_role is not None and self.told_role[1] is not None:
-                self.log("fleet_owner_no_more", {"term": self.told_role[1], "role": ROLE_NAMES[role]})
-                self.unowned_since = now
-            self.told_role = role, term
-        if self.owner.leader not in (None, self.name):  # when its last round was heard
-            self.unowned_since = max(
-                self.unowned_since, self.owner.votes_withheld_until - self.owner.vote_withholding_time()
-            )
-
-    def leads(self, now):
-        return not self.silenced and self.vote.failed_at is None and self.owner.holds_lease(now)
-
-    def acts(self, name):
-        """The fence under which this server may have an effect for that duty at this moment, or None: to be
-        asked after every wait and before every effect."""
-        task = self.singleton_tasks.tasks.get(name)
-        if task is None or not self.leads(self.clock()) or not task.is_held(self.owner.durable.term):
-            return None
-        return task.fencing_token
+                leaderless_s = round(now - self._leaderless_since, 3)
+                self.log("leadership_acquired", {"term": term, "leaderless_s": leaderless_s})
+            elif logged_term is not None:
+                self.log("leadership_lost", {"term": logged_term, "role": ROLE_NAMES[role]})
+                self._leaderless_since = now
+            self._logged_role = role, term
+        if self.raft.leader not in (None, self.name):
+            last_round_at = self.raft.votes_withheld_until - self.raft.vote_withholding_time()
+            self._leaderless_since = max(self._leaderless_since, last_round_at)
 
     # ---- messages
 
-    def hear(self, message, at):
-        """From a link. Kinds that nobody knows are counted: a newer version's."""
+    def receive(self, message: codec.Message, address: str) -> None:
+        """Take a peer's message; kinds that nobody knows are those of a newer version, and counted."""
         if self.closed:
             return
-        now, kind, fields, sender = self.clock(), message.kind, message.fields, message.sender
-        if kind in Membership.KINDS:
-            self.carry_membership(self.membership.receive(now, sender, message.generation, kind, fields))
+        now = self.clock()
+        if message.kind in Membership.KINDS:
+            sends = self.membership.receive(
+                now, message.sender, message.generation, message.kind, message.fields
+            )
+            self._carry_out_membership(sends)
         elif self.silenced:
             return
-        elif kind in RaftNode.KINDS:
+        elif message.kind in RaftNode.KINDS:
             if self.vote.failed_at is None:
-                self.carry(self.owner.receive(now, sender, kind, fields))
+                self.carry_out(self.raft.receive(now, message.sender, message.kind, message.fields))
         else:
-            taker = next((one for one in (self, *self.others) if kind in one.KINDS), None)
-            if taker is None:
-                self.count("cluster.messages_rejected.kind")
-                return
-            try:
-                taker.KINDS[kind](taker, now, sender, *fields)
-            except (TypeError, ValueError, IndexError):
-                self.count("cluster.messages_rejected.fields")
+            self._receive_for_subsystem(now, message)
 
-    def send(self, name, kind, fields):
+    def _receive_for_subsystem(self, now: float, message: codec.Message) -> None:
+        receivers: list[Any] = [self, *self.others]
+        receiver = next((one for one in receivers if message.kind in one.KINDS), None)
+        if receiver is None:
+            self.count("cluster.messages_rejected.kind")
+            return
+        try:
+            receiver.KINDS[message.kind](receiver, now, message.sender, *message.fields)
+        except (TypeError, ValueError, IndexError):
+            self.count("cluster.messages_rejected.fields")
+
+    def send(self, name: str, kind: str, fields: list[Any]) -> None:
+        """Send a message to a member; it may be lost."""
         member = self.membership.get(name)
         if member is not None and name != self.name:
             self.peer_connections.send(member.address, kind, fields)
 
-    def carry_membership(self, sends):
-        for _, at, kind, fields in sends:
-            self.peer_connections.send(at, kind, fields)
+    def _carry_out_membership(self, sends: Iterable[OutgoingMessage]) -> None:
+        for _, address, kind, fields in sends:
+            self.peer_connections.send(address, kind, fields)
         for change in self.membership.take_changes():
-            if change.effect is Effect.NAME_CONFLICT:
-                self.silence(f"another server at {change.member.address} says that it is {self.name}")
-                continue
-            self.count("cluster.members." + change.effect.value)
-            self.log(
-                "member_changed",
-                {
-                    "member": change.name,
-                    "change": change.effect.value,
-                    "zone": change.member.zone,
-                    "suspected_by": change.member.suspected_by or "-",
-                },
-            )
+            if change.effect is MemberEffect.NAME_CONFLICT:
+                self._silence(f"another server at {change.member.address} says that it is {self.name}")
+            else:
+                self._log_member(change)
+
+    def _log_member(self, change: MemberChange) -> None:
+        self.count("cluster.members." + change.effect.value)
+        self.log(
+            "member_changed",
+            {
+                "member": change.name,
+                "change": change.effect.value,
+                "zone": change.member.zone,
+                "suspected_by": change.member.suspected_by or "-",
+            },
+        )
 
-    def silence(self, why):
-        """Votes and acts no more: two of one name must not both."""
+    def _silence(self, reason: str) -> None:
+        """Vote and act no more: two of one name must not both."""
         if self.silenced is None:
-            self.silenced = why
-            self.log("fleet_silenced", {"why": why})
-            now = self.clock()
-            self.carry_duties(self.singleton_tasks.tick(now, None))
+            self.silenced = reason
+            self.log("cluster_silenced", {"reason": reason})
+            self.carry_out_tasks(self.singleton_tasks.tick(self.clock(), None))
+
+    # ---- the replicated log
 
-    def carry(self, effects):
+    def carry_out(self, effects: list[Effect]) -> None:
+        """Carry out Raft's effects, each once what stands before it is durable."""
         for effect in self.vote.submit(effects):
-            self.do(effect)
+            self._carry_out_one(effect)
 
-    def do(self, effect):
+    def _carry_out_one(self, effect: object) -> None:
         if isinstance(effect, Send):
             self.send(effect.to, effect.kind, effect.fields)
         elif isinstance(effect, Committed):
-            self.committed(effect)
+            self._committed(effect)
 
-    def hear_the_disk(self):
-        stream = Stream(self.scheduler, self.helper.end)
+    def _follow_worker(self, worker: Helper) -> None:
+        """Take what the disk's thread has done; runs as a task."""
+        stream = Stream(self.scheduler, worker.end)
         while isinstance(stream.read(), bytes):
-            for _, result in self.helper.taken():
-                if isinstance(result, OSError):
-                    if self.vote.failed_at is None:
-                        self.log("fleet_vote_not_kept", {"why": str(result)})
-                    self.count("fleet.vote_failed")
-                elif self.vote.failed_at is not None:
-                    self.log("fleet_vote_kept_again")
-                for effect in self.vote.write_finished(self.clock(), result):
-                    self.do(effect)
-
-    # ---- facts
-
-    def committed(self, told):
-        """A fact holds from now on."""
-        if told.command[0] == GRANT_LEASE:
-            _, name, owner, life = told.command
-            fence = told.state.task_lease(name).fencing_token
-            self.fencing_tokens.accept(name, fence)
-            now = self.clock()
-            if (owner, life) == (self.name, self.vote_life) and self.leads(now):
-                term = self.owner.durable.term
-                if self.owner.term_of(told.log_index) == term:
-                    self.carry_duties(self.singleton_tasks.grant_committed(now, term, name, fence))
-        if told.command[0] in (ADD_VOTER, REMOVE_VOTER):
-            self.log(
-                "fleet_voters",
-                {
-                    "fact": " ".join(str(word) for word in told.command),
-                    "voters": ",".join(name for name, _ in told.state.voters),
-                },
-            )
+            for _, result in worker.taken():
+                self._vote_written(result)
 
-    def owner_now(self):
-        """The name of the owner as far as is known here, or None."""
-        return self.name if self.leads(self.clock()) else self.facts()[2]
-
-    def propose(self, fact):
-        """The owner's: a fact for the log. False where it can't be proposed now."""
+    def _vote_written(self, result: Any) -> None:  # noqa: ANN401 - what was asked for, or an OSError
+        if isinstance(result, OSError):
+            if self.vote.failed_at is None:
+                self.log("vote_write_failed", {"reason": str(result)})
+            self.count("cluster.vote_write_failed")
+        elif self.vote.failed_at is not None:
+            self.log("vote_write_recovered")
+        for effect in self.vote.write_finished(self.clock(), result):
+            self._carry_out_one(effect)
+
+    def propose(self, command: tuple[Any, ...]) -> bool:
+        """Propose a command for the log; return False where it can't be proposed here and now."""
         now = self.clock()
         if not self.leads(now):
             return False
-        done = self.owner.propose(now, fact)
-        self.carry(self.owner.tick(now))
-        return done
-
-    def facts(self):
-        """(term, facts, owner as far as is known here)"""
-        if self.owner.may_vote() or self.heard_facts is None:
-            return self.owner.durable.term, self.owner.state, self.owner.leader
-        return self.heard_facts[:3]
-
-    def tell(self, now, term):
-        """The owner tells those that do not vote what holds; who remembers nothing says so."""
+        proposed = self.raft.propose(now, command)
+        self.carry_out(self.raft.tick(now))
+        return proposed
+
+    def _committed(self, entry: Committed) -> None:
+        """Take a command that holds from now on."""
+        command = entry.command
+        if command[0] == GRANT_LEASE:
+            self._lease_granted(entry)
+        elif command[0] in (ADD_VOTER, REMOVE_VOTER):
+            voters = ",".join(name for name, _ in entry.state.voters)
+            text = " ".join(str(word) for word in command)
+            self.log("cluster_voters_changed", {"command": text, "voters": voters})
+
+    def _lease_granted(self, entry: Committed) -> None:
+        _, name, holder, incarnation = entry.command
+        lease = entry.state.task_lease(name)
+        assert lease is not None  # the entry has just granted it
+        token = lease.fencing_token
+        self.fencing_tokens.accept(name, token)
+        now = self.clock()
+        if (holder, incarnation) == (self.name, self.vote_life) and self.leads(now):
+            term = self.raft.durable.term
+            if self.raft.term_of(entry.log_index) == term:
+                self.carry_out_tasks(self.singleton_tasks.grant_committed(now, term, name, token))
+
+    # ---- announcements
+
+    def _announce(self, now: float, term: int | None) -> None:
+        """Send the state to those that do not vote, and say whether this server has lost its own."""
         if term is not None:
-            facts = self.owner.state
-            voting = {name for name, _ in facts.voters}
-            fields, mark = [term, facts.encode()], (term, self.owner.commit_index)
-            for name in self.membership.alive():
-                before = self.told_facts.get(name)
-                if name not in voting and (before is None or before[0] != mark or now - before[1] >= REMIND):
-                    self.told_facts[name] = mark, now
-                    self.send(name, "facts", fields)
-        if not self.owner.durable.state_lost:  # it was admitted by others that had founded without it
+            self._send_state(now, term)
+        if not self.raft.durable.state_lost:  # it was admitted by others that had bootstrapped without it
             self.bootstrap = None
-        if self.bootstrap is not None or self.owner.durable.state_lost:
-            word = (
-                self.bootstrap.announcement()
-                if self.bootstrap is not None
-                else [[self.name, self.vote_life, 0], None, False]
-            )
-            owner = self.facts()[2]
-            to = self.options.voters if self.bootstrap is not None or owner is None else [owner]
-            if owner is None:  # the founders may long be others than those that vote
-                alive = self.membership.alive()
-                to = {*to, *(alive[int(self.chance.share() * len(alive))] for _ in range(ASKED))}
-            for name in to:
-                self.send(name, "blank", word)
-        elif self.founded_set is not None and now - self.started_at < 600.0:
-            packed = voter_set_to_wire(self.founded_set)
-            for name in self.options.voters:  # one that has not heard all the words founds by this
-                if name != self.name and self.membership.get(name) is not None:
-                    self.send(name, "blank", [[self.name, self.vote_life, 0], packed, True])
-
-    def on_blank(self, now, sender, row, would, done):
-        """One that remembers nothing, or that has just founded."""
+        if self.bootstrap is not None or self.raft.durable.state_lost:
+            self._announce_lost_state()
+        elif self._bootstrap_voters is not None and now - self.started_at < BOOTSTRAP_REMINDER_TIME:
+            self._announce_bootstrap()
+
+    def _send_state(self, now: float, term: int) -> None:
+        state = self.raft.state
+        voting = {name for name, _ in state.voters}
+        fields = [term, state.encode()]
+        commit_index = self.raft.commit_index
+        for name in self.membership.alive():
+            sent = self._sent_states.get(name)
+            is_current = sent is not None and (sent.term, sent.commit_index) == (term, commit_index)
+            if name in voting or (is_current and sent is not None and now - sent.sent_at < REMINDER_INTERVAL):
+                continue
+            self._sent_states[name] = SentState(term, commit_index, now)
+            self.send(name, STATE_MESSAGE, fields)
+
+    def _announce_lost_state(self) -> None:
+        fields: list[Any] = [[self.name, self.vote_life, 0], None, False]
+        if self.bootstrap is not None:
+            fields = self.bootstrap.announcement()
+        leader = self.known_state().leader
+        receivers: Iterable[str] = self.options.voters
+        if self.bootstrap is None and leader is not None:
+            receivers = [leader]
+        if leader is None:  # the voters may long be others than those that the file names
+            alive = self.membership.alive()
+            receivers = {*receivers, *(self.random_member(alive) for _ in range(RANDOM_RECEIVERS))}
+        for name in receivers:
+            self.send(name, BLANK_MESSAGE, fields)
+
+    def _announce_bootstrap(self) -> None:
+        """Tell the other voters, one of which may not have received all announcements, who they are."""
+        fields = [[self.name, self.vote_life, 0], voter_set_to_wire(self._bootstrap_voters), True]
+        for name in self.options.voters:
+            if name != self.name and self.membership.get(name) is not None:
+                self.send(name, BLANK_MESSAGE, fields)
+
+    def on_blank(self, now: float, sender: str, row: Any, would: Any, done: Any) -> None:  # noqa: ANN401
+        """Take the announcement of a server without durable state, or of one that has bootstrapped."""
         if self.bootstrap is not None:
             if self.bootstrap.receive(sender, row, would, done) is not None:
-                self.found()
+                self.complete_bootstrap()
             return
-        if done is not True and isinstance(row, list) and len(row) == 3 and isinstance(row[1], int):
-            self.wanted[sender] = row[1]
-            if len(self.wanted) > limits.MEMBERS:
-                self.wanted.clear()
-
-    def found(self):
-        self.founded_set = self.bootstrap.completed
+        # An exact type: true and false are integers in Python.
+        if done is not True and isinstance(row, list) and len(row) == ROW_LENGTH and type(row[1]) is int:
+            self.voter_changes.record_candidate(sender, row[1])
+
+    def complete_bootstrap(self) -> None:
+        """Begin as a voter of the new cluster."""
+        assert self.bootstrap is not None
+        founders = self.bootstrap.completed
+        assert founders is not None
+        self._bootstrap_voters = founders
         self.bootstrap = None
-        voters = tuple((name, life) for name, life, _ in self.founded_set)
-        self.owner = self.make_owner(
-            voters=voters, fencing_token=max(floor for _, _, floor in self.founded_set)
-        )
+        voters = tuple((name, incarnation) for name, incarnation, _ in founders)
+        self.raft = self._make_raft(voters=voters, fencing_token=max(token for _, _, token in founders))
         self.log("cluster_bootstrapped", {"voters": ",".join(name for name, _ in voters)})
 
-    def admit(self, now):
-        """The owner takes voters back that lost their memory, and in those that an operator named."""
-        voters = dict(self.owner.state.voters)
-        named = {*voters, *self.asked_in, *self.options.voters}
-        for name, life in list(self.wanted.items()):
-            if voters.get(name) == life:
-                del self.wanted[name]
-                self.asked_in.discard(name)
-            elif name in named:
-                self.owner.readmit_voter(now, name, life)
-        if self.wanted:
-            self.carry(self.owner.tick(now))
-
-    def on_facts(self, now, sender, term, packed):
-        if self.owner.may_vote() and self.epoch(packed[2]) <= self.epoch(self.owner.state.fencing_token):
-            return
-        facts = ClusterState.decode(packed)
-        if self.heard_facts is not None and (term, facts.fencing_token) < (
-            self.heard_facts[0],
-            self.heard_facts[1].fencing_token,
-        ):
+    def on_state(self, now: float, sender: str, term: int, encoded: Any) -> None:  # noqa: ANN401
+        """Take the state that a leader sent.
+
+        Raises:
+            TypeError: A field has the wrong type.
+            ValueError: A field has the wrong form.
+        """
+        if self.raft.may_vote() and self._epoch(encoded[2]) <= self._epoch(self.raft.state.fencing_token):
             return
-        self.heard_facts = term, facts, sender, now
-        for name, _, _, fence in facts.task_leases:
-            self.fencing_tokens.accept(name, fence)
-        if self.owner.may_vote() and (self.name, self.vote_life) not in facts.voters:
-            self.forget()
+        state = ClusterState.decode(encoded)
+        if self._received_state is not None:
+            known = self._received_state.known
+            if (term, state.fencing_token) < (known.term, known.state.fencing_token):
+                return
+        self._received_state = ReceivedState(KnownState(term, state, sender), now)
+        for name, _, _, token in state.task_leases:
+            self.fencing_tokens.accept(name, token)
+        if self.raft.may_vote() and (self.name, self.vote_life) not in state.voters:
+            self._discard_state()
 
     @staticmethod
-    def epoch(fence):
-        return fence >> limits.EPOCH_BITS
-
-    def forget(self):
-        """The fleet was revived without this one: what it has kept is of before, and it votes anew."""
-        self.log("fleet_revived_without", {"life": self.vote_life})
-        self.vote_anew()
-        self.owner = self.make_owner()
-
-    def vote_anew(self):
-        """In a life that has never voted."""
-        self.vote_life = self.singleton_tasks.incarnation = max(
-            int(1000 * self.seams.wall()), self.vote_life + 1
-        )
-
-    def make_owner(self, **how):
-        return RaftNode(self.name, self.vote_life, self.options.lease, self.chance, self.clock(), **how)
-
-    # ---- shares of the calls
-
-    def share_calls(self, name, options, need):
-        """This server takes part in the split of the calls; need(): calls out that it could use now."""
+    def _epoch(fencing_token: int) -> int:
+        """Return how often the cluster had been bootstrapped by force when the token was granted."""
+        return fencing_token >> limits.EPOCH_BITS
+
+    def _discard_state(self) -> None:
+        """Vote anew: the cluster was bootstrapped by force without this server, whose state is of before."""
+        self.log("cluster_state_discarded", {"incarnation": self.vote_life})
+        self._begin_incarnation()
+        self.raft = self._make_raft()
+
+    def _begin_incarnation(self) -> None:
+        """Take the number of an incarnation that has never voted."""
+        self.vote_life = max(int(1000 * self.seams.wall()), self.vote_life + 1)
+        self.singleton_tasks.incarnation = self.vote_life
+
+    # ---- the quota of calls
+
+    def share_calls(self, name: str, options: SingletonTaskOptions, need: Callable[[], float]) -> None:
+        """Take part in sharing the calls.
+
+        Args:
+            name: The singleton task that shares them.
+            options: Its options.
+            need: Returns how many calls this server could have out now.
+        """
         self.call_quota = CallQuota(self, name, options, need)
 
-    def on_need(self, now, sender, *fields):
+    def on_need(self, now: float, sender: str, *fields: Any) -> None:  # noqa: ANN401
+        """Take a server's request for a share of the calls."""
         if self.call_quota is not None:
             self.call_quota.on_request(now, sender, *fields)
 
-    def on_share(self, now, sender, said):
+    def on_share(self, now: float, sender: str, grant: Any) -> None:  # noqa: ANN401
+        """Take the share of the calls that the leader granted."""
         if self.call_quota is not None:
-            self.call_quota.on_grant(now, sender, said)
+            self.call_quota.on_grant(now, sender, grant)
 
-    KINDS = {"blank": on_blank, "facts": on_facts, REQUEST_MESSAGE: on_need, GRANT_MESSAGE: on_share}
+    KINDS: ClassVar[dict[str, Callable[..., None]]] = {
+        BLANK_MESSAGE: on_blank,
+        STATE_MESSAGE: on_state,
+        REQUEST_MESSAGE: on_need,
+        GRANT_MESSAGE: on_share,
+    }
 
-    # ---- duties
+    # ---- singleton tasks
 
-    def configure(self, configured):
-        self.carry_duties(self.singleton_tasks.configure(self.clock(), configured))
+    def configure(self, configured: Mapping[str, SingletonTaskOptions]) -> None:
+        """Take the singleton tasks that the operator's file has now."""
+        self.carry_out_tasks(self.singleton_tasks.configure(self.clock(), configured))
 
-    def carry_duties(self, effects):
-        now = self.clock()
+    def carry_out_tasks(self, effects: Iterable[singleton_tasks.Effect]) -> None:
+        """Carry out the effects of singleton tasks."""
         for effect in effects:
             if isinstance(effect, singleton_tasks.Propose):
                 self.propose(effect.entry)
             elif isinstance(effect, singleton_tasks.StartCommand):
-                self.start_command(now, effect)
+                self._start_command(effect)
             elif isinstance(effect, singleton_tasks.StopCommand):
                 self.task_processes.stop(effect.task)
             else:
                 self.log(effect.event, effect.fields)
 
-    def start_command(self, now, start):
-        """At the last look at the lease: what is started has its fence in its environment."""
-        failure = singleton_tasks.CommandOutcome.without_exit("lease over")
+    def _start_command(self, start: singleton_tasks.StartCommand) -> None:
+        """Start a command after a last look at the lease; it has its fencing token in its environment."""
+        failure: CommandOutcome | None = CommandOutcome.without_exit("lease over")
         if self.acts(start.task) == start.fencing_token:
             failure = self.task_processes.start(*start)
         if failure is not None:
-            self.run_ended(start.task, failure)
-        self.tell_guards()
+            self._command_ended(start.task, failure)
+        self._extend_leases()
 
-    def run_ended(self, name, outcome):
-        self.carry_duties(self.singleton_tasks.command_ended(self.clock(), name, outcome))
+    def _command_ended(self, name: str, outcome: CommandOutcome) -> None:
+        self.carry_out_tasks(self.singleton_tasks.command_ended(self.clock(), name, outcome))
 
-    def tell_guards(self):
+    def _extend_leases(self) -> None:
         if self.task_processes.running and self.leads(self.clock()):
-            self.task_processes.extend_leases(self.acts, self.seams.to_boot(self.owner.lease_until))
-
-    # ---- what operators ask
-
-    def hand_over(self, to=None):
-        """To one that has all that is committed, once its commands are gone. None, or why not."""
-        if not self.leads(self.clock()):
-            return f"{self.name} is not the owner; {self.facts()[2] or 'nobody'} is"
-        fit = self.successors()
-        if to is not None and to not in fit:
-            return f"{to} has not all that is committed"
-        if not fit:
-            return "no other voter has all that is committed"
-        now = self.clock()
-        self.handing = to or ""
-        self.carry_duties(self.singleton_tasks.tick(now, None))
-        self.go_on_handing_over(now, self.owner.durable.term)
-        return None
+            self.task_processes.extend_leases(self.acts, self.seams.to_boot(self.raft.lease_until))
 
-    def go_on_handing_over(self, now, term):
-        """Once all that its duties started is gone; the lease goes on until then. To another where the one
-        named is fit no more."""
-        if term is None:
-            self.handing = None
-        elif not self.task_processes.running:
-            fit = self.successors()
-            if fit:
-                to = self.handing if self.handing in fit else fit[int(self.chance.share() * len(fit))]
-                self.carry(self.owner.transfer_leadership(now, to))
-                self.handing = None
-
-    def successors(self):
-        """Voters that are there and have all that is in this one's log."""
-        alive, last = set(self.membership.alive()), self.owner.last_position().last_index
-        return [name for name, at in self.owner.matched() if name in alive - {self.name} and at == last]
-
-    def change_voters(self, what, name):
-        """One at a time. None, or why not."""
-        now, voters = self.clock(), dict(self.owner.state.voters)
-        if not self.leads(now):
-            return f"{self.name} is not the owner; {self.facts()[2] or 'nobody'} is"
-        if what == "admit":
-            if name in voters:
-                return f"{name} votes already"
-            if len(voters) >= limits.VOTERS:
-                return f"{limits.VOTERS} voters at the most"
-            if name not in self.wanted:
-                return f"{name} has not said that it would vote: is it there, and in this fleet?"
-            self.asked_in.add(name)
-            return None
-        if name not in voters:
-            return f"{name} does not vote"
-        if name == self.name:
-            return "an owner does not dismiss itself: hand over first"
-        if len(voters) == 1:
-            return "the last voter stays"
-        if not self.propose((REMOVE_VOTER, name)):
-            return "another change of voters is under way"
-        self.asked_in.discard(name)
-        return None
+    # ---- what operators ask for
 
-    def revive(self):
-        """After the loss of a majority for good: this server alone votes, under numbers above all that were
-        handed out. None, or why not."""
+    def force_bootstrap(self) -> str | None:
+        """Continue alone after the loss of a majority for good, and return why it can't, or None.
+
+        This server alone votes, under fencing tokens above all that were granted.
+        """
         now = self.clock()
         if self.leads(now):
             return "there is an owner: this server"
-        if (
-            self.owner.role == 0
-            and now < self.owner.votes_withheld_until
-            and self.owner.leader is not None
-            and (now - self.started_at > 2 * self.options.lease)
-        ):
-            return f"there is an owner: {self.owner.leader}"
-        _, facts, _ = self.facts()
-        floor = (
-            self.epoch(max([facts.fencing_token, *self.fencing_tokens.highest_seen.values()])) + 1
-        ) << limits.EPOCH_BITS
-        self.vote_anew()
+        if self._follows_leader(now):
+            return f"there is an owner: {self.raft.leader}"
+        granted = [self.known_state().state.fencing_token, *self.fencing_tokens.highest_seen.values()]
+        token = (self._epoch(max(granted)) + 1) << limits.EPOCH_BITS
+        self._begin_incarnation()
         self.bootstrap = None
         voters = ((self.name, self.vote_life),)
-        self.owner = self.make_owner(voters=voters, fencing_token=floor, term=self.owner.durable.term + 1)
-        self.log("fleet_revived", {"fence": floor})
+        self.raft = self._make_raft(voters=voters, fencing_token=token, term=self.raft.durable.term + 1)
+        self.log("cluster_bootstrap_forced", {"fencing_token": token})
         return None
 
-    def role(self):
-        """In words, what keeps it from voting first."""
-        if self.silenced:
-            return "silenced: " + self.silenced
-        if self.vote.failed_at is not None:
-            return "its disk does not keep its vote"
-        if self.bootstrap is not None:
-            return "waits for the others named to vote"
-        return "remembers no vote" if self.owner.durable.state_lost else ROLE_NAMES[self.owner.role]
+    def _follows_leader(self, now: float) -> bool:
+        """Return whether a leader was heard within its lease; a server that has just started can't tell."""
+        has_run = now - self.started_at > 2 * self.options.lease
+        heard = self.raft.leader is not None and now < self.raft.votes_withheld_until
+        return self.raft.role == 0 and heard and has_run
 
-    def status(self):
-        now = self.clock()
-        term, facts, owner = self.facts()
-        members = [self.membership.local, *self.membership.members.values()]
-        leads = self.leads(now)
-        return {
-            "name": self.options.name,
-            "owner": self.name if leads else owner,
-            "term": term,
-            "fence": facts.fencing_token,
-            "lease_left_s": round(max(0.0, self.owner.lease_until - now), 3) if leads else None,
-            "role": self.role(),
-            "voters": [name for name, _ in facts.voters],
-            "doubt": self.membership.health.score,
-            "members": [
-                {
-                    "name": m.name,
-                    "address": m.address,
-                    "zone": m.zone,
-                    "state": STATE_NAMES[m.state],
-                    "for_s": round(now - m.since, 1),
-                    "accused_by": m.suspected_by if m.state == SUSPECTED else "",
-                }
-                for m in sorted(members)
-            ],
-            "duties": self.singleton_tasks.status(now),
-            "owners": [
-                {"duty": duty, "owner": one, "fence": fence} for duty, one, _, fence in facts.task_leases
-            ],
-            "share": None if self.call_quota is None else self.call_quota.status(now),
-            "split": self.call_quota.allocator_status(now) if self.call_quota is not None and leads else None,
-            "links": len(self.peer_connections.open_connections),
-            "elections": self.elections,
-        }
-
-    def figures(self):
-        """Numbers for the counters."""
-        now = self.clock()
-        states = [m.state for m in self.membership.members.values()]
-        return {
-            "alive": 1 + states.count(ALIVE),
-            "suspected": states.count(SUSPECTED),
-            "leads": int(self.leads(now)),
-            "term": self.owner.durable.term,
-            "fence": self.facts()[1].fencing_token,
-            "links": len(self.peer_connections.open_connections),
-            "doubt": self.membership.health.score,
-            "elections": self.elections,
-            "fence_refused": self.fencing_tokens.rejected_count,
-            "share": -1 if self.call_quota is None else self.call_quota.available(),
-        }
+    def status(self) -> dict[str, Any]:
+        """Return what `valeturn fleet status` shows."""
+        return node_status.status(self)
+
+    def figures(self) -> dict[str, Any]:
+        """Return the numbers for the server's gauges."""
+        return node_status.figures(self)
 
     # ---- the end
 
-    def leave(self):
-        """The notice to leave has come: commands are stopped, ownership handed on; it answers on until
-        closed."""
+    def leave(self) -> None:
+        """Stop commands and transfer leadership; peers are answered until `close`."""
         if not self.leaving:
             self.leaving = True
             now = self.clock()
-            self.carry_duties(self.singleton_tasks.tick(now, None))
+            self.carry_out_tasks(self.singleton_tasks.tick(now, None))
             if self.leads(now):
-                self.hand_over()
+                self.leadership_transfer.begin()
 
-    def leave_alone(self):
-        """This server goes out of the fleet and serves on by itself: it takes part again from its next
-        start."""
+    def leave_alone(self) -> None:
+        """Leave the cluster and serve on alone; the server takes part again from its next start."""
         self.leave()
         self.depart()
-        self.silence("has left the fleet")
+        self._silence("has left the fleet")
 
-    def depart(self):
-        """The others hear that it goes by itself, and need not suspect it."""
+    def depart(self) -> None:
+        """Tell the others that this server leaves by itself, so that they need not suspect it."""
         if self.membership.local.state != LEFT:
-            self.carry_membership(self.membership.leave(self.clock()))
+            self._carry_out_membership(self.membership.leave(self.clock()))
 
-    def close(self, patience):
+    def close(self, patience: float) -> None:
+        """End all commands and connections, and wait up to `patience` seconds for the disk."""
         if self.closed:
             return
         self.depart()
         self.closed = True
         self.task_processes.close_all()
         self.peer_connections.close_now()
-        if self.helper is not None:
-            self.helper.finish(max(0.01, patience))
-            self.vote_folder.unlock()
+        if self.worker is not None and self.vote_directory is not None:
+            self.worker.finish(max(CLOSE_TIMEOUT, patience))
+            self.vote_directory.unlock()
--- a/valeturn/lab/fault_injection/member.py
+++ b/valeturn/lab/fault_injection/member.py
@@ -44,7 +44,7 @@
         file.write(CLOCK.pack(rate, own, true))
 
 
-class Noting(node.Fleet):
+class Noting(node.ClusterNode):
     """Notes: "acts TRUE_TIME TERM", the time read before the lease was looked at, and "share TRUE_TIME AMOUNT
     UNTIL" in true time."""
 
@@ -54,7 +54,7 @@
     def tick(self):
         before = node.boot_clock()
         if self.leads(self.clock()):
-            self.note(f"acts {before:.6f} {self.owner.durable.term}")
+            self.note(f"acts {before:.6f} {self.raft.durable.term}")
         super().tick()
 
     def share_calls(self, *args):
@@ -73,7 +73,7 @@
             self.noted = line.split()[2:]
             self.note(line)
 
-    KINDS = {**node.Fleet.KINDS, "share": on_share}
+    KINDS = {**node.ClusterNode.KINDS, "share": on_share}
 
 
 class Filling(vote_file.VoteDirectory):
@@ -93,7 +93,7 @@
     relays = {tuple(one["of"]): tuple(one["through"]) for one in told["relays"]}
     clock = Clock(told["clock"])
     Noting.notes = os.open(told["notes"], os.O_CREAT | os.O_APPEND | os.O_WRONLY)
-    node.Fleet, Filling.full = Noting, told["full"]
+    node.ClusterNode, Filling.full = Noting, told["full"]
 
     def dial(scheduler, address, patience):
         return connect(scheduler, relays.get(address, address), patience)
--- a/valeturn/lab/fault_injection/virtual.py
+++ b/valeturn/lab/fault_injection/virtual.py
@@ -60,7 +60,7 @@
         self.start()
 
     def start(self):
-        self.fleet = node.Fleet(
+        self.fleet = node.ClusterNode(
             self.options,
             self.name,
             None,
@@ -125,7 +125,7 @@
     def arrive(self, links, message, at):
         member = self.by_name[links.who()[0]]
         if member.up and member.fleet.peer_connections is links:
-            member.timed(member.fleet.hear, message, at)
+            member.timed(member.fleet.receive, message, at)
 
     def owner(self):
         return next((m for m in self.members if m.up and m.fleet.leads(m.clock())), None)
--- a/valeturn/maintenance/committed_records.py
+++ b/valeturn/maintenance/committed_records.py
@@ -4,14 +4,14 @@
 
 from typing import Any
 
-from ..cluster.node import Fleet
+from ..cluster.node import ClusterNode
 from .records import MaintenanceRecord, decode_record
 
 
 class CommittedRecords:
     """The records as far as this server knows them, decoded once for each state of the log."""
 
-    def __init__(self, node: Fleet) -> None:
+    def __init__(self, node: ClusterNode) -> None:
         """Read from the log of this server's cluster node."""
         self.node = node
         self._decoded_from: tuple[Any, ...] = ()
@@ -25,7 +25,7 @@
             TypeError: A field has the wrong type.
             ValueError: A record has the wrong form.
         """
-        encoded = self.node.facts()[1].maintenance_records
+        encoded = self.node.known_state().state.maintenance_records
         if encoded is not self._decoded_from:
             self._decoded = [decode_record(fields) for fields in encoded]
             self._decoded_from = encoded  # last, so that a malformed record is reported at each reading
@@ -37,4 +37,4 @@
 
     def paused(self) -> bool:
         """Return whether an operator has paused the granting of maintenance."""
-        return bool(self.node.facts()[1].maintenance_held)
+        return bool(self.node.known_state().state.maintenance_held)
--- a/valeturn/maintenance/coordinator.py
+++ b/valeturn/maintenance/coordinator.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Collection
 from typing import Any, ClassVar, NamedTuple
 
-from ..cluster.node import Fleet
+from ..cluster.node import ClusterNode
 from .committed_records import CommittedRecords
 from .hooks import HookRunner
 from .leader import Log, MaintenanceLeader
@@ -64,7 +64,7 @@
 
     def __init__(
         self,
-        node: Fleet,
+        node: ClusterNode,
         options: MaintenanceOptions,
         measure: Callable[[], ServerMeasurement],
         start_drain: Callable[[], None],
@@ -132,7 +132,7 @@
             int(reported_state),
             self.local_drain.fencing_token,
         )
-        leader = self.node.owner_now()
+        leader = self.node.current_leader()
         if leader == self.node.name:
             self.on_report(now, leader, *report)
         elif leader is not None:
@@ -214,7 +214,7 @@
         """
         if self.local_drain.state is not LocalDrainState.DRAINING:
             return
-        sleep = self.node.scheduler.sleep
+        sleep: Callable[[float], None] = self.node.scheduler.sleep
         self.local_drain.complete_drain(self.node.clock())
         self.next_report_at = 0.0  # report at once
         while self._is_in(LocalDrainState.DRAINED):
@@ -275,7 +275,7 @@
         last_attempt_at = -math.inf
         while clock() < deadline:
             now = clock()
-            leader = self.node.owner_now()
+            leader = self.node.current_leader()
             if is_committed():
                 return None
             if leader is not None and now - last_attempt_at > REQUEST_RETRY_INTERVAL:
@@ -291,12 +291,12 @@
 
     def status(self) -> dict[str, Any]:
         """Return what `valeturn status` shows of maintenance."""
-        _, facts, leader = self.node.facts()
+        known = self.node.known_state()
         return maintenance_status(
             self.node.clock(),
             self.records.read(),
             self.leader.schedule,
             self.local_drain,
-            leader,
-            facts.maintenance_held,
+            known.leader,
+            known.state.maintenance_held,
         )
--- a/valeturn/maintenance/hooks.py
+++ b/valeturn/maintenance/hooks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..cluster.node import Fleet
+from ..cluster.node import ClusterNode
 from ..cluster.singleton_tasks import CommandOutcome
 from ..cluster.task_processes import TaskProcesses
 
@@ -18,7 +18,7 @@
 class HookRunner:
     """Runs one command at a time, under a guard process that ends it when its time is over."""
 
-    def __init__(self, node: Fleet, log: Callable[[str, dict[str, Any]], None]) -> None:
+    def __init__(self, node: ClusterNode, log: Callable[[str, dict[str, Any]], None]) -> None:
         """Use the node's scheduler, clock and environment for the commands.
 
         Args:
@@ -46,7 +46,7 @@
         failure = self.processes.start(HOOK_NAME, command, fencing_token, TERMINATION_PATIENCE)
         if failure is not None:
             self._on_ended(HOOK_NAME, failure)
-        now: float = self.node.seams.to_boot(self.node.clock())  # type: ignore[operator]  # untyped yet
+        now: float = self.node.seams.to_boot(self.node.clock())
         self.processes.extend_leases(token_of, now + time_limit)
 
     def _on_ended(self, name: str, outcome: CommandOutcome) -> None:
--- a/valeturn/maintenance/leader.py
+++ b/valeturn/maintenance/leader.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ..cluster.member_messages import ALIVE, SUSPECTED
-from ..cluster.node import Fleet
+from ..cluster.node import ClusterNode
 from .committed_records import CommittedRecords
 from .drain_schedule import DrainSchedule
 from .messages import Report, Response
@@ -44,7 +44,9 @@
     Requests and reports that arrive while it does not lead are ignored; their senders repeat them.
     """
 
-    def __init__(self, node: Fleet, records: CommittedRecords, response_validity: float, log: Log) -> None:
+    def __init__(
+        self, node: ClusterNode, records: CommittedRecords, response_validity: float, log: Log
+    ) -> None:
         """Start as a server that does not lead.
 
         Args:
@@ -75,7 +77,7 @@
             self._plan(now, self.schedule)
 
     def _plan(self, now: float, schedule: DrainSchedule) -> None:
-        replica = self.node.owner
+        replica = self.node.raft
         if replica.commit_index < replica.last_position().last_index:
             return  # plans are made on committed entries alone: another grant may be among the others
         records = self.records.read()
--- a/valeturn/server/components/cluster.py
+++ b/valeturn/server/components/cluster.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from ...cluster.node import Fleet
+from ...cluster.node import ClusterNode
 from ...cluster.vote_file import VoteFileError
 from ...control import answers, requests
 from ...control.requests import ClusterAction
@@ -24,15 +24,15 @@
     def __init__(self, server: Server, options: Any) -> None:  # noqa: ANN401 - as the base class
         super().__init__(server, options)
         self.node = self._open_node()
-        fields = {"fleet": options.name, "listen": options.listen, "life": self.node.vote_life}
-        server.log("fleet_opened", fields)
+        fields = {"cluster": options.name, "listen": options.listen, "incarnation": self.node.vote_life}
+        server.log("cluster_opened", fields)
 
-    def _open_node(self) -> Fleet:
+    def _open_node(self) -> ClusterNode:
         server = self.server
         options = self.options
         configuration = server.configuration
         try:
-            return Fleet(
+            return ClusterNode(
                 options,
                 configuration.name,
                 server.scheduler,
@@ -97,10 +97,10 @@
         """Carry out a request and return why it can't be, or None."""
         node = self.node
         actions: dict[ClusterAction, Callable[[], str | None]] = {
-            ClusterAction.TRANSFER_LEADERSHIP: lambda: node.hand_over(request.server),
+            ClusterAction.TRANSFER_LEADERSHIP: lambda: node.leadership_transfer.begin(request.server),
             ClusterAction.LEAVE: node.leave_alone,
-            ClusterAction.FORCE_BOOTSTRAP: node.revive,
-            ClusterAction.ADD_VOTER: lambda: node.change_voters("admit", request.server),
-            ClusterAction.REMOVE_VOTER: lambda: node.change_voters("dismiss", request.server),
+            ClusterAction.FORCE_BOOTSTRAP: node.force_bootstrap,
+            ClusterAction.ADD_VOTER: lambda: node.voter_changes.add(request.server or ""),
+            ClusterAction.REMOVE_VOTER: lambda: node.voter_changes.remove(request.server or ""),
         }
         return actions[request.action]()
--- a/valeturn/server/components/maintenance.py
+++ b/valeturn/server/components/maintenance.py
@@ -13,7 +13,7 @@
 from .cluster import Component as ClusterComponent
 
 if TYPE_CHECKING:
-    from ...cluster.node import Fleet
+    from ...cluster.node import ClusterNode
     from ..server import Server
     from .degradation import Component as DegradationComponent
 
@@ -41,7 +41,7 @@
             self._node(), self.options, self.measure, self.start_drain, self.server.log
         )
 
-    def _node(self) -> Fleet:
+    def _node(self) -> ClusterNode:
         cluster = self.server.components["fleet"]
         assert isinstance(cluster, ClusterComponent)
         return cluster.node
