--- a/tests/operator_config/test_loader.py
+++ b/tests/operator_config/test_loader.py
@@ -122,3 +122,23 @@
     reply = reader_process.frame_reply(["a", 1])
     assert reader_process.parse_reply(reply) == ["a", 1]
     assert [reader_process.parse_reply(reply[:size]) for size in range(len(reply))] == [None] * len(reply)
+
+
+def test_reader_that_can_t_be_started_for_lack_of_descriptors_is_a_fault_and_leaves_none_open(tmp_path):
+    file = tmp_path / "v.ini"
+    file.write_text("[store]\nfolder = /tmp/kept\n")
+    code = (
+        "import json, os, resource; from valeturn.operator_config import loader;"
+        "from valeturn.server import components, configuration;"
+        "deployment = configuration.decode(json.load(open('examples/config.json')));"
+        "opened = lambda: sorted(os.listdir('/proc/self/fd')); before = opened();"
+        "resource.setrlimit(resource.RLIMIT_NOFILE, (len(before) + {spare}, 4096));\n"
+        "try: loader.load_in_child_process({file!r}, deployment, components.options_modules)\n"
+        "except loader.OperatorConfigError as error: print(error)\n"
+        "resource.setrlimit(resource.RLIMIT_NOFILE, (4096, 4096)); print(opened() == before)"
+    )
+    for spare in range(4):
+        words = [sys.executable, "-c", code.format(spare=spare, file=str(file))]
+        done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True)
+        fault, same = done.stdout.splitlines()
+        assert "unreadable: its reader can't be started: [Errno 24]" in fault and same == "True"
