--- a/valeturn/lab/addresses.py
+++ b/valeturn/lab/addresses.py
@@ -17,7 +17,7 @@
 LAST_PORT: Final = 9999
 HOSTS_PER_NETWORK: Final = 250
 NETWORKS: Final = 250
-# 127.64.0.0 to 127.127.0.0 belong to the fault injection, 127.30 to 127.60 and 127.100 to 127.199 to tests.
+# 127.30 to 127.89 and 127.100 to 127.199 belong to tests.
 FIRST_NETWORK: Final = "127.210"
 
 _reservations: dict[Address, socket.socket] = {}
--- a/valeturn/lab/fault_injection/fleet.py
+++ b/valeturn/lab/fault_injection/fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
 import os
 import pathlib
@@ -16,9 +15,11 @@
 from ...cluster.node import boot_clock
 from ...cluster.process_guard import descendants_of
 from ...transport.seeded_random import Chance
+from ..addresses import reserve_address
 from ..checker import check
 from ..executor import Executor, Plan
 from ..gateways import Gateway
+from ..random_streams import warmed_up
 from ..restarts import configuration
 from ..services import http, listen, naming
 from . import history_checker
@@ -32,16 +33,6 @@
 CALL_CAP = 24
 
 
-FLEETS = itertools.count()
-
-
-def addresses(fleet, server):
-    """(for gateways, for peers), of the loopback range, but not where connections get their own ports."""
-    pid = os.getpid() & 0x3FFF
-    host = f"127.{64 + pid % 64}.{pid // 64 % 250}.{server + 1}"
-    return (host, 4100 + 2 * fleet), (host, 4101 + 2 * fleet)
-
-
 class Server:
     """One of them, through all its lives."""
 
@@ -51,7 +42,7 @@
         self.process, self.life, self.stopped, self.deaths = None, 0, False, []
         # [from, to] in monotonic s, while it was stopped: what it owed then it can't have answered
         self.away = []
-        self.listen, self.peers = addresses(fleet.number, int(name[1:]))
+        self.listen, self.peers = reserve_address(), reserve_address()
         self.clock, self.notes = self.folder / "clock", self.folder / "notes"
         write_clock(self.clock, 1.0, boot_clock(), boot_clock())
         self.executor = Executor(fleet.plan)
@@ -91,11 +82,8 @@
         lease=LEASE,
         fleet=True,
     ):
-        self.number = next(FLEETS)
-        self.folder, self.chance, self.calls, self.fenced = pathlib.Path(folder), Chance(seed), 0, fenced
+        self.folder, self.chance, self.calls, self.fenced = pathlib.Path(folder), warmed_up(seed), 0, fenced
         self.seed = seed
-        for _ in range(8):
-            self.chance.share()
         self.fleet = fleet  # False: the same servers without the section, for comparison
         self.lease, self.duties, self.folders, self.load = lease, duties, folders, load
         self.largest, self.zones = largest or count, ("a", "b", "c")
--- a/valeturn/lab/fault_injection/schedule.py
+++ b/valeturn/lab/fault_injection/schedule.py
@@ -12,9 +12,9 @@
 from typing import Final, NamedTuple
 
 from ...transport.seeded_random import Chance
+from ..random_streams import warmed_up
 
 LEADER: Final = "the leader"  # a target that is found when the fault is played; another where nobody leads
-WARM_UP_DRAWS: Final = 8  # the first numbers of near seeds are alike
 SHORTEST_FAULT: Final = 0.3  # leases
 FAULT_SPREAD: Final = 3.0  # leases
 LEADER_STOP_EXTENSION: Final = 2.5  # leases: long enough that another one is elected
@@ -101,9 +101,7 @@
         lease: The leader's lease in seconds, which the lengths of faults follow.
         pace: Mean seconds between the starts of two faults.
     """
-    chance = Chance(seed)
-    for _ in range(WARM_UP_DRAWS):
-        chance.share()
+    chance = warmed_up(seed)
     return [_draw(chance, servers, lease, pace) for _ in range(count)]
 
 
--- a/valeturn/lab/soak_schedule.py
+++ b/valeturn/lab/soak_schedule.py
@@ -7,13 +7,12 @@
 from typing import Final, NamedTuple, TypeVar
 
 from ..transport.seeded_random import Chance
+from .random_streams import warmed_up
 
-WARM_UP_DRAWS: Final = 8  # the first numbers of near seeds are alike
 LONGEST_SERVICE: Final = 0.6  # s that a life serves before its ending begins
 CROWD_SHARE: Final = 0.25  # of the lives: a crowd of connections, near the limit of descriptors
 CROWD: Final = 60  # connections of a crowd; the server has 72 descriptors
-SHORTEST_KILL_DELAY: Final = 0.0  # s from a signal to the kill
-KILL_DELAY_SPREAD: Final = 0.25  # s: a reload takes some 0.2 s
+LONGEST_KILL_DELAY: Final = 0.25  # s from the last signal to a kill: a reload takes some 0.2 s
 LONGEST_SIGNAL_PAUSE: Final = 0.05  # s between two signals of a series
 
 DrawnT = TypeVar("DrawnT")
@@ -99,9 +98,7 @@
 
 def draw_schedule(seed: int, lives: int) -> SoakSchedule:
     """Return the schedule of a seed."""
-    chance = Chance(seed)
-    for _ in range(WARM_UP_DRAWS):
-        chance.share()
+    chance = warmed_up(seed)
     operator_file = _one_of(chance, list(OperatorFile))
     return SoakSchedule(seed, operator_file, tuple(_draw_life(chance, operator_file) for _ in range(lives)))
 
@@ -122,5 +119,5 @@
         service=LONGEST_SERVICE * chance.share(),
         signals=signals,
         ending=ending,
-        kill_delay=SHORTEST_KILL_DELAY + KILL_DELAY_SPREAD * chance.share(),
+        kill_delay=LONGEST_KILL_DELAY * chance.share(),
     )
