Review stand-ins: ports below the kernel's range; no error passes for a broken rule

Cause: one run of case 3 ended with 2 (could not run); its record was overwritten by the next run. Ports were picked from the range that the kernel gives to connections, so that one could be taken before its server listened; that this was the cause is a guess. Ports now come from below that range. An unexpected exception in a case ended the script with 1, as a broken rule does; now it ends with 2.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -127,7 +127,7 @@
     try:
         with tempfile.TemporaryDirectory() as folder:
             return asyncio.run(asyncio.wait_for(play(record, pathlib.Path(folder)), 100))
-    except (OSError, TimeoutError) as error:
+    except Exception as error:  # whatever keeps the case from running must not look like a broken rule
         record(f"the case could not run: {error!r}")
         return 2
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import struct
@@ -21,6 +22,7 @@
 TICK_S = 0.005  # of the executor's clock
 KEPT_NOTICES = 4000
 SUBMISSION, ANSWER, CANCEL, HEALTH_CHECK, HEALTH = 7, 8, 9, 1, 2
+PORTS_GIVEN: set[int] = set()
 OUTCOMES = {1: "served", 0: "refused", 9: "failed"}
 
 
@@ -37,10 +39,21 @@
 
 
 def free_port() -> int:
-    """Return a port of 127.0.0.1 that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port of 127.0.0.1 that is free now, below those that the kernel gives to connections.
+
+    A port of the kernel's own range could be taken by a connection before the server listens on it.
+    """
+    while True:
+        port = random.randrange(12000, 32000)
+        if port in PORTS_GIVEN:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        PORTS_GIVEN.add(port)
+        return port
 
 
 class Executor:
@@ -81,8 +94,8 @@
                     self.joins += 1
                     self.record(f"executor: link {self.joins} joined after notice {message['no']}")
                     if message["no"] == 0:  # each start of the server numbers notices anew from 1
-                        for self.number, kept in enumerate(self.notices, 1):
-                            kept["no"] = self.number
+                        for number, kept in enumerate(self.notices, 1):
+                            kept["no"] = number
                         self.number = len(self.notices)
                     self.write({"t": "WELCOME", "status": "steady", "time_ms": 600000})
                     for kept in self.notices:
@@ -209,7 +222,7 @@
 
 
 class Server:
-    """One process of the program, started as in the deploy file; with an operator's file where one is given."""
+    """One process of the program, started as in the deploy file, with an operator's file if one is given."""
 
     def __init__(self, record, folder, name, settings, operator_file="", stop_ms=3000, **ports) -> None:
         self.record, self.folder, self.name = record, folder / name, name
@@ -285,8 +298,8 @@
     ports = {}
 
     async def listen(key, serve):
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        ports[key] = server.sockets[0].getsockname()[1]
+        ports[key] = free_port()
+        await asyncio.start_server(serve, "127.0.0.1", ports[key])
 
     await listen("executor", executor.serve)
     await listen("ledger", lambda r, w: serve_http(r, w, "200 OK", lambda body: b"[" + body + b"]"))
