Show that deduplicated work runs twice once the memory for keys is full

The room for a key is looked up when a submission is read, and its entry made at the end of the turn; a result that ends in the same turn takes the room, and the submission is started without its key.

--- a/review/support_2.py
+++ b/review/support_2.py
@@ -40,8 +40,11 @@
     def __init__(self, folder):
         self.path, self.began, self.lines = folder / "record.txt", time.monotonic(), []
 
+    def now(self):
+        return round(time.monotonic() - self.began, 3)
+
     def __call__(self, text):
-        line = f"{time.monotonic() - self.began:8.3f}  {text}"
+        line = f"{self.now():8.3f}  {text}"
         self.lines.append(line)
         print(line, flush=True)
 
@@ -63,17 +66,17 @@
 
 
 class Executor:
-    """Runs submissions on sockets. `seconds(body)` is the time of a run; a run has no call.
+    """Runs submissions on sockets. `running(body)` takes the time of a run; a run has no call.
 
     A run counts as begun when its command is carried out: that is its effect. `lose(rid, body)` may return
     True for a command that is lost as the link breaks; it does so by `break_link` and within the 50 ms that
     the pages allow.
     """
 
-    def __init__(self, record, seconds, lose=lambda rid, body: False):
-        self.record, self.seconds, self.lose = record, seconds, lose
+    def __init__(self, record, running, lose=lambda rid, body: False, result=lambda body: b"result of " + body):
+        self.record, self.running, self.lose, self.result = record, running, lose, result
         self.number, self.notices, self.link, self.runs, self.begun = 0, [], None, {}, []
-        self.started_at, self.joins, self.ended = time.time() - 3600, 0, []
+        self.started_at, self.joins, self.ended, self.history = time.time() - 3600, 0, [], []
 
     async def serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
@@ -119,16 +122,21 @@
         if rid in self.runs:
             return None
         self.begun.append((rid, message["route"], body))
+        self.history.append((self.record.now(), rid, message["route"], body))
         self.runs[rid] = asyncio.get_running_loop().create_task(self.run(rid, message["route"], body))
         return None
 
     async def run(self, rid, route, body):
         began = time.monotonic()
-        await asyncio.sleep(self.seconds(body))
+        await self.running(body)
+        self.end(rid, route, body, int(1000 * (time.monotonic() - began)))
+
+    def end(self, rid, route, body, time_ms=10):
+        """End a run well, at once."""
         del self.runs[rid]
         self.ended.append((rid, route, body))
-        result = base64.b64encode(b"result of " + body).decode()
-        self.notice(t="EXIT", rid=rid, status="success", time_ms=int(1000 * (time.monotonic() - began)), b64=result)
+        result = base64.b64encode(self.result(body)).decode()
+        self.notice(t="EXIT", rid=rid, status="success", time_ms=time_ms, b64=result)
 
     def on_kill(self, message, writer):
         """Stop a run; what does not run can't be stopped, and nothing is to be told of it."""
@@ -191,7 +199,7 @@
     """One connection of a gateway."""
 
     def __init__(self, record):
-        self.record, self.stream, self.waiting, self.ended = record, 0, {}, False
+        self.record, self.stream, self.waiting, self.ended, self.corked = record, 0, {}, False, None
 
     async def connect(self, port):
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
@@ -213,13 +221,27 @@
             for future in self.waiting.values():
                 if not future.done():
                     future.set_result(None)
+            self.writer.close()
 
     def begin(self, kind, payload):
+        if self.ended:
+            raise CannotRunError("a gateway's connection has ended")
         self.stream += 1
-        self.writer.write(frame(kind, self.stream, payload))
+        if self.corked is None:
+            self.writer.write(frame(kind, self.stream, payload))
+        else:
+            self.corked.append(frame(kind, self.stream, payload))
         future = self.waiting[self.stream] = asyncio.get_running_loop().create_future()
         return future
 
+    def cork(self):
+        """Keep frames back until `uncork`, which sends them in one write."""
+        self.corked = []
+
+    def uncork(self):
+        frames, self.corked = self.corked, None
+        self.writer.write(b"".join(frames))
+
     async def healthy(self):
         answer = await asyncio.wait_for(self.begin(1, encode_fields({})), 2)
         return answer is not None and answer[0] == 2 and answer[1][0] == 1
@@ -272,13 +294,13 @@
         self.record, self.folder = record, pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.processes, self.listeners = [], []
 
-    async def listen(self, serve):
+    async def listen(self, serve, port=0):
         async def connection(reader, writer):
             with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
                 await serve(reader, writer)
             writer.close()
 
-        server = await asyncio.start_server(connection, "127.0.0.1", 0)
+        server = await asyncio.start_server(connection, "127.0.0.1", port)
         self.listeners.append(server)
         return server.sockets[0].getsockname()[1]
 
@@ -468,7 +490,7 @@
 
     async def start(self):
         for name in self.names:
-            executor = self.executors[name] = Executor(self.record, lambda body: 0.05)
+            executor = self.executors[name] = Executor(self.record, lambda body: asyncio.sleep(0.05))
             self.services[name] = {
                 "executor": await self.world.listen(executor.serve),
                 "ledger": await self.world.listen(ledger),
@@ -510,6 +532,9 @@
             return await asyncio.wait_for(case(world, record), LIMIT_S)
         finally:
             await world.close()
+            for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                task.cancel()
+            await asyncio.sleep(0.1)
 
     try:
         code = 1 if asyncio.run(play()) else 0
