--- a/review/support_2.py
+++ b/review/support_2.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -52,10 +53,18 @@
         self.path.write_text("\n".join(self.lines) + "\n")
 
 
+GIVEN = set()
+
+
 def free_port():
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
+    """Return a free port below those that the system gives to stand-ins and to outgoing connections."""
+    while True:
+        port = random.randrange(10000, 30000)
+        with socket.socket() as one, contextlib.suppress(OSError):
+            one.bind(("127.0.0.1", port))
+            if port not in GIVEN:
+                GIVEN.add(port)
+                return port
 
 
 def text_address(port):
