Keep the key of a request that waits to be started again

What callers saw: with [store] a deduplicated request whose start was lost with the executor's link ran twice, as a second try that came while the first waited for a core was taken for a new request.

Cause: Deduplication.never_started removed the key from the table, although the request was still pending and was started again later. Interrupts of starts that wait for the disk or for the executor's link took the same way. Beside it, a suspended run whose next start was lost counted as never begun: the store forgot it, and an unrepeatable one was rejected at a stop.

Change: the key stays in the table until the request is no longer pending, and is removed then if no intent stands on the disk. PendingRequest.has_begun says whether the executor has reported anything of an execution.

--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -214,6 +214,21 @@
     ) == [("EXEC", call)]
 
 
+def test_suspended_unrepeatable_execution_whose_next_start_is_lost_is_not_rejected(caller):
+    """Guards against a rejection, which promises that nothing ran, of a run with progress."""
+    harness = DispatcherHarness(interruption=interface.Interruption.SUSPEND)
+    number, call = harness.arrive("file", caller, actions=[interface.Start], cost_hint=0.2)
+    harness.turn(messages.DeferredEvent(interface.TimerFired(0, None)), actions=[interface.Interrupt(number)])
+    harness.turn(run_ended(call, RunResult.STOPPED, b""))
+    harness.turn(messages.DeferredEvent(interface.TimerFired(0, None)), actions=[interface.Start(number)])
+    assert reconnect(harness) == []
+    harness.turn(messages.InDoubtCheckDue(number))
+    harness.report_gauges()
+    assert harness.events[-1] == interface.Ended(number, interface.Outcome.CANCELLED, 0.0)
+    harness.turn(messages.StopRequested())
+    assert answer_codes(caller) == [FAILED]
+
+
 def test_execution_in_doubt_that_asks_for_its_call_is_not_interrupted(caller):
     harness = DispatcherHarness()
     _, call, check_due = execution_in_doubt(harness, caller)
--- a/tests/result_store/test_idempotent_requests.py
+++ b/tests/result_store/test_idempotent_requests.py
@@ -7,11 +7,13 @@
 from valeturn.admission import interface
 from valeturn.admission.controller import AdmissionController
 from valeturn.dispatch import messages
+from valeturn.dispatch.deduplication import IN_STORE
 from valeturn.dispatch.executor_client import REPLAY_END
 from valeturn.protocol import executor as executor_protocol
 from valeturn.protocol.executor import RunResult
 
 DELIVERED, TURNED_BACK, WRITTEN_OFF = 1, 0, 9
+TIMER_FIRED = messages.DeferredEvent(interface.TimerFired(0, None))
 REMEMBERED = [lambda n: interface.StoreKey(n, 8.0), interface.Start]
 
 
@@ -183,6 +185,101 @@
     assert answer_codes(late) == [WRITTEN_OFF], "the second one was executed"
 
 
+def lose_start(world, call, number):
+    """Break the executor's link with a start on it, and prove after the reconnection that it is lost."""
+    ends = world.ends
+    ends.turn(messages.ExecutorDisconnected(ends.now - 1.0))
+    ends.turn(messages.ExecutorConnected(False, 9.0), executor_protocol.GaugesReported(REPLAY_END, ()))
+    ends.turn(messages.InDoubtCheckDue(number))
+    assert world.commands("KILL") == [call]
+    ends.report_gauges()
+    assert ends.events[-1] == interface.Ended(number, interface.Outcome.CANCELLED, 0.0)
+
+
+def suspend_before_intent_is_durable(world, call, number):
+    """Interrupt an execution whose intent is on its way to the disk."""
+    world.ends.turn(TIMER_FIRED, actions=[interface.Interrupt(number)])
+    world.ends.turn()
+    assert world.ends.events[-1] == interface.Ended(number, interface.Outcome.CANCELLED, 0.0)
+
+
+def suspend_before_executor_connects(world, call, number):
+    """Interrupt an execution whose intent is durable and whose start waits for the executor's link."""
+    world.ends.connected = False
+    world.disk()
+    suspend_before_intent_is_durable(world, call, number)
+    world.ends.connected = True
+
+
+@pytest.mark.parametrize(
+    "cancel, durable",
+    [
+        (lose_start, True),
+        (suspend_before_intent_is_durable, False),
+        (suspend_before_executor_connects, False),
+    ],
+)
+def test_duplicate_of_request_that_waits_to_be_started_again_is_not_executed(cancel, durable):
+    """Guards against a key that is forgotten while its request is pending: the duplicate ran beside it."""
+    world, callers = World(held=True), [Caller(), Caller()]
+    world.disk()
+    number, call = world.arrive(caller=callers[0])
+    if durable:
+        world.disk()
+    cancel(world, call, number)
+    world.disk()
+    world.arrive(caller=callers[1], do=[interface.AnswerFromOriginal])
+    assert world.ends.events[-1].duplicate_of == number
+    world.ends.turn(TIMER_FIRED, actions=[interface.Start(number)])
+    for _ in range(3):
+        world.disk()
+    assert set(world.commands()) == {call}
+    world.ends.turn(run_ended(call))
+    assert [answer_codes(caller) for caller in callers] == [[DELIVERED]] * 2
+
+
+def test_request_that_ends_without_having_run_releases_its_key():
+    """Guards against a key that outlives a request whose start was lost: its next try could never run."""
+    world = World(held=True)
+    world.disk()
+    number, call = world.arrive()
+    world.disk()
+    lose_start(world, call, number)
+    world.ends.turn(TIMER_FIRED, actions=[interface.Fail(number)])
+    world.disk()
+    assert answer_codes(world.caller) == [WRITTEN_OFF]
+    _, again = world.arrive(caller=Caller())
+    assert world.ends.events[-1].duplicate_of is None
+    world.disk()
+    world.disk()
+    assert world.commands() == [call, again]
+
+
+@pytest.mark.parametrize("lost", ["on the link", "before the link"])
+def test_suspended_execution_whose_next_start_is_lost_counts_as_executed(lost):
+    """Guards against a run with progress that is recorded as never started: a restart would run it again."""
+    world = World(interruption=interface.Interruption.SUSPEND)
+    number, call = world.arrive()
+    world.disk()
+    world.ends.turn(TIMER_FIRED, actions=[interface.Interrupt(number)])
+    world.ends.turn(run_ended(call, RunResult.STOPPED, b""))
+    world.ends.commands.clear()
+    if lost == "on the link":
+        world.ends.turn(TIMER_FIRED, actions=[interface.Start(number)])
+        lose_start(world, call, number)
+    else:
+        world.ends.connected = False
+        world.ends.turn(TIMER_FIRED, actions=[interface.Start(number)])
+        suspend_before_intent_is_durable(world, call, number)
+    world.disk()
+    world.restart()
+    world.disk()
+    late = Caller()
+    world.arrive(caller=late, do=[interface.AnswerFromOriginal])
+    assert world.ends.events[-1].duplicate_of == IN_STORE
+    assert answer_codes(late) == [WRITTEN_OFF] and world.commands() == []
+
+
 def test_shutdown_with_pending_intents_answers_all_and_executes_none():
     world = World(held=True, real=True)
     world.disk()
--- a/valeturn/dispatch/deduplication.py
+++ b/valeturn/dispatch/deduplication.py
@@ -209,21 +209,32 @@
         return True
 
     def never_started(self, pending):
-        """Note that it is proved that the execution never began: a duplicate of it may run."""
-        if self.result_store is not None and pending.key_digest is not None:
-            pending.intent_logged = False
-            self.result_store.end_execution(pending.number, pending.key_digest, self.NEVER_STARTED)
-            self.table.remove(pending.number)
+        """Note that it is proved that the start of an execution was never received.
+
+        While the submission is pending it may be started again, so its key stays in the table and duplicates
+        wait for it; `release` removes the key. An execution that has begun before, and was to be resumed by
+        this start, stays recorded in the store.
+        """
+        if self.result_store is None or pending.key_digest is None or pending.has_begun:
+            return
+        pending.intent_logged = False
+        self.result_store.end_execution(pending.number, pending.key_digest, self.NEVER_STARTED)
 
     def release(self, pending):
-        """Release what the store holds for a submission that is no longer pending."""
-        if self.result_store is not None and pending.key_digest is not None:
-            self.result_store.release(pending.number)
-            if pending.state == LOGGING_INTENT:
-                self.never_started(pending)
-            if pending.intent_logged:
-                pending.intent_logged = False
-                self.result_store.end_execution(pending.number, pending.key_digest, self.ENDED_WITHOUT_RESULT)
+        """Release what the store holds for a submission that is no longer pending.
+
+        Without an intent on the disk it never ran, so that its key is free for the next try.
+        """
+        if self.result_store is None or pending.key_digest is None:
+            return
+        self.result_store.release(pending.number)
+        if pending.state == LOGGING_INTENT:
+            self.never_started(pending)
+        if pending.intent_logged:
+            pending.intent_logged = False
+            self.result_store.end_execution(pending.number, pending.key_digest, self.ENDED_WITHOUT_RESULT)
+        else:
+            self.table.remove(pending.number)
 
     def on_store_progressed(self, now, message):
         """Take up what the store's worker thread has finished."""
--- a/valeturn/dispatch/executions.py
+++ b/valeturn/dispatch/executions.py
@@ -111,7 +111,7 @@
         )
         if proved or pending.workload_settings.effect is interface.Effect.IDEMPOTENT:
             self.dispatcher.count("executor.never_ran")
-            pending.may_have_run = False
+            pending.may_have_run = pending.has_begun
             self.dispatcher.deduplication.never_started(pending)
             self.end_execution(pending, interface.Outcome.CANCELLED, 0.0, None)
         else:
@@ -169,6 +169,7 @@
                 self.dispatcher.count("executor.run_of_none")
             return
         outcome = OUTCOMES[message.end]
+        pending.has_begun = pending.has_begun or outcome is not interface.Outcome.MOOT
         if (
             outcome is interface.Outcome.CANCELLED
             and pending.probed
@@ -218,7 +219,7 @@
                 self.release_orphan(message)
             return
         pending.state, pending.call_request, pending.reply = RECEIVED, (message.number, message.body), None
-        pending.end_may_be_lost = False
+        pending.end_may_be_lost, pending.has_begun = False, True
         pending.attempt += 1
         self.dispatcher.count("executor.calls_wanted")
         self.dispatcher.events.append(interface.CallRequested(pending.number))
--- a/valeturn/dispatch/pending_request.py
+++ b/valeturn/dispatch/pending_request.py
@@ -28,6 +28,7 @@
         "cost_hint",
         "duplicate_of",
         "end_may_be_lost",
+        "has_begun",
         "intent_logged",
         "interrupt_token",
         "interrupting",
@@ -99,6 +100,7 @@
         self.probed = False  # interrupted only to find out whether it runs
         # Its end may be among notices that were lost, so that the lack of one proves nothing.
         self.end_may_be_lost = False
+        self.has_begun = False  # the executor has reported that an execution of it ended or made a call
         # The call to the ledger: (notice number, body) of the executor's request, the Reply sent, and a
         # number that tells results of earlier calls from the current one's.
         self.call_request, self.reply, self.attempt = None, None, 0
