Hold back connections that send messages without a pause

What callers saw: while one client sent health checks, cancels or unsound submissions at full speed, a calm gateway waited 206 to 540 ms in the median, and up to 169 of its 200 submissions were rejected or failed. With 200 such connections a server of 32 MB took 109 MB (health checks) and 55 MB (submissions).

Cause: a connection's task decoded up to 64 KB at a time, which is 7,281 small frames, and handled eight such reads before others had a turn; decoded messages were kept while the mailbox was full. A closing connection decoded up to 1 MB in one turn.

Change: at most 32 messages a turn, a pause for connections over 64 messages in 20 ms, reads of 8 KB, and a lingering close that gives way and decodes 128 messages at most. The control socket and the connections between servers are paced too.

--- a/tests/control/test_control_server.py
+++ b/tests/control/test_control_server.py
@@ -1,5 +1,6 @@
 """The control server: who may connect to its socket, and clients that send too much or nothing."""
 
+import itertools
 import json
 import os
 import pathlib
@@ -12,6 +13,7 @@
 
 from valeturn.control import answers, client, server
 from valeturn.control.errors import SocketInUseError
+from valeturn.transport.message_pacing import MAX_MESSAGES_PER_TURN
 from valeturn.transport.scheduler import Scheduler
 
 
@@ -83,3 +85,39 @@
     assert counts["control.invalid_request"] == 1
     control.close()
     assert not os.path.exists(path)
+
+
+def test_client_that_sends_requests_without_a_pause_does_not_delay_others(tmp_path: pathlib.Path) -> None:
+    """Guards against a control server that answers all that one client sent before anything else runs."""
+    path = str(tmp_path / "s")
+    scheduler = Scheduler()
+    control = server.ControlServer(
+        scheduler, path, lambda request: answers.encode_success(said=1), lambda name: None
+    )
+    answered_before_turn = []
+    answered = 0
+
+    def count_answer(line: bytes) -> bytes:
+        nonlocal answered
+        answered += 1
+        return b"{}\n"
+
+    control._answer_line = count_answer  # type: ignore[method-assign]
+
+    def flood() -> None:
+        with socket.socket(socket.AF_UNIX) as connection:
+            connection.connect(path)
+            connection.sendall(b"?\n" * 3000)
+
+    def take_turns() -> None:
+        threading.Thread(target=flood, daemon=True).start()
+        while answered < 300:
+            answered_before_turn.append(answered)
+            scheduler.pause()
+        control.close()
+        scheduler.stop()
+
+    scheduler.spawn(take_turns)
+    scheduler.run()
+    steps = [after - before for before, after in itertools.pairwise([*answered_before_turn, answered])]
+    assert max(steps) <= 2 * MAX_MESSAGES_PER_TURN
--- a/tests/dispatch/test_endings.py
+++ b/tests/dispatch/test_endings.py
@@ -156,6 +156,34 @@
     assert len(took) == 2 and max(took) < 2.0 and silent.sock.fileno() == flooded.sock.fileno() == -1
 
 
+def test_endless_data_during_a_lingering_close_leaves_other_tasks_their_turn(scheduler):  # noqa: F811
+    """Guards against a close that reads and decodes all that a flooding client sends in one turn."""
+    stream, far = pair(scheduler)
+    reads, turns = [], []
+
+    class EndlessSocket:
+        def __getattr__(self, name):
+            return getattr(real, name)
+
+        def recv(self, most):
+            reads.append(most)
+            return b"x"
+
+    real, stream.sock = stream.sock, EndlessSocket()
+
+    def other():
+        while reads[-1:] != ["closed"]:
+            turns.append(len(reads))
+            scheduler.pause()
+
+    def closing():
+        stream.lingering_close(0.2, lambda data: None)
+        reads.append("closed")
+
+    run(scheduler, closing, other)
+    assert max(after - before for before, after in zip(turns, turns[1:])) < 50, "other tasks had to wait"
+
+
 def test_endless_data_on_one_stream_leaves_other_tasks_their_turn(scheduler):  # noqa: F811
     stream, far = pair(scheduler)
     reads = []
--- a/tests/protocol/test_protocol.py
+++ b/tests/protocol/test_protocol.py
@@ -16,6 +16,18 @@
     return messages
 
 
+@pytest.mark.parametrize("limit", [1, 3, 32])
+def test_frames_beyond_the_limit_of_a_call_are_returned_by_the_next_ones(limit):
+    data = b"".join(submission(stream) + frame(9, stream) for stream in range(1, 30))
+    decoder, messages = frames.FrameDecoder(), []
+    found = decoder.feed(data + submission(30)[:50], limit)
+    while found:
+        assert len(found) <= limit and decoder.unfinished
+        messages += found
+        found = decoder.feed(b"", limit)
+    assert messages == frames.FrameDecoder().feed(data)
+
+
 def test_frames_decode_the_same_however_they_are_split():
     data = (
         submission(1, body=b"\x00\xff body")
--- a/valeturn/cluster/peer_connections.py
+++ b/valeturn/cluster/peer_connections.py
@@ -15,6 +15,7 @@
 
 from ..transport.backoff import Backoff
 from ..transport.listener import Listener
+from ..transport.message_pacing import MessageBudget, MessagePacing
 from ..transport.scheduler import Scheduler
 from ..transport.seeded_random import SeededRandom
 from ..transport.streams import Stream, connect
@@ -159,6 +160,7 @@
         self._peers: dict[str, Peer] = {}  # by address
         self._generations: dict[str, int] = {}  # the latest known, by name
         self._closed = False
+        self._pacing = MessagePacing(scheduler)
         address = parse_address(local.listen_address)
         self._listener = Listener(scheduler, address, limits.LINKS, self._accept, self._evict)
 
@@ -255,6 +257,7 @@
     def _read(self, connection: Connection) -> None:
         """Receive messages until the connection is closed, idle or breaks the protocol."""
         decoder = codec.Decoder(self._local.cluster)
+        budget = MessageBudget()
         try:
             while isinstance(data := connection.stream.read(IDLE_TIMEOUT), bytes):
                 for result in decoder.feed(data):
@@ -262,6 +265,9 @@
                     if reason is not None:
                         self._count("cluster.messages_rejected." + reason.value)
                         return
+                    self._pacing.after(budget, 1)
+                    if connection.stream.fault is not None:  # closed meanwhile
+                        return
         finally:
             self._release(connection)
 
--- a/valeturn/control/server.py
+++ b/valeturn/control/server.py
@@ -9,6 +9,7 @@
 import stat
 from collections.abc import Callable
 
+from ..transport.message_pacing import MessageBudget, MessagePacing
 from ..transport.scheduler import READ, Scheduler
 from ..transport.streams import Stream
 from .answers import encode_rejection
@@ -94,6 +95,7 @@
 
     Attributes:
         client_count: How many clients are connected.
+        pacing: Holds back clients that send requests without a pause.
     """
 
     def __init__(
@@ -120,6 +122,7 @@
         self.answer = answer
         self.count = count
         self.client_count = 0
+        self.pacing = MessagePacing(scheduler)
         self.listener = open_listening_socket(path)
         scheduler.spawn(self._accept_clients, name="control")
 
@@ -149,6 +152,7 @@
     def _serve_client(self, stream: Stream) -> None:
         """Answer one client's requests until it disconnects, sends too much or times out; runs as a task."""
         splitter = LineSplitter()
+        budget = MessageBudget()
         try:
             while isinstance(received := stream.read(READ_TIMEOUT_S), bytes):
                 try:
@@ -159,6 +163,7 @@
                     break
                 for line in lines:
                     stream.write(self._answer_line(line))
+                    self.pacing.after(budget, 1)
         finally:
             self.client_count -= 1
             stream.lingering_close(LINGER_S)
--- a/valeturn/dispatch/gateway_server.py
+++ b/valeturn/dispatch/gateway_server.py
@@ -6,6 +6,7 @@
 import time
 
 from ..protocol import frames
+from ..transport.message_pacing import MAX_MESSAGES_PER_TURN, MessageBudget, MessagePacing
 from ..transport.streams import StreamFault
 from .messages import ConnectionClosed, HealthCheckRequested, SubmissionCancelled, SubmissionReceived
 
@@ -15,6 +16,12 @@
 # The same when room for connections is short; also the time without an open submission before this side
 # closes. A submission that crosses a close within 50 ms is sent again by its gateway.
 SHORT_CLOSE_TIMEOUT_S = 0.1
+# One read takes what a gateway has open in submissions of the usual size; undecoded bytes of all connections
+# share the memory.
+READ_SIZE_BYTES = 8192
+# Messages that are decoded after the close of a connection has begun: a gateway has at most 32 submissions
+# open, and may cancel each or ask for health in between.
+MAX_LATE_MESSAGES = 128
 # Answers that wait for one reader: 32 of the longest. A reader with more than that is too slow.
 MAX_UNSENT_BYTES = 163840
 # Stream numbers remembered out of order; beyond that the lowest gap counts as used. At most 32 are open.
@@ -49,6 +56,8 @@
             0,
             0,
         )
+        self.late_messages = 0  # decoded after the close had begun
+        self.budget = MessageBudget()
         self.close_at = math.inf  # when this side closes after it has asked the gateway to
         self.linger = CLOSE_TIMEOUT_S  # seconds for the other side to read to the end
         # Stream numbers seen: all up to the first, and those in the set.
@@ -71,6 +80,7 @@
                 raise
             finally:
                 if self.closing and not self.ended:
+                    self.handle_last_data(b"")
                     self.stream.lingering_close(self.linger, self.handle_last_data)
         finally:
             self.end()
@@ -87,12 +97,25 @@
                 if received is StreamFault.CLOSED:
                     self.close()
                 break
-            self.handle_messages(self.decoder.feed(received))
+            self.handle_data(received)
             if self.incomplete_since is None and self.decoder.unfinished:
                 self.incomplete_since = gateways.scheduler.clock()
 
+    def handle_data(self, data):
+        """Handle the messages of one read a few at a time, so that other connections get their turns.
+
+        A connection that sends more than its budget is not read for a while.
+        """
+        messages = self.decoder.feed(data, MAX_MESSAGES_PER_TURN)
+        while messages:
+            self.handle_messages(messages)
+            if self.closing or self.ended:
+                return
+            self.gateways.pacing.after(self.budget, len(messages))
+            messages = [] if self.closing or self.ended else self.decoder.feed(b"", MAX_MESSAGES_PER_TURN)
+
     def handle_messages(self, messages):
-        """Handle the messages of one read, in their order."""
+        """Handle messages that were read together, in their order."""
         if messages:
             self.has_spoken, self.incomplete_since = True, None
         cancelled = {message.stream for message in messages if isinstance(message, frames.CancelRequest)}
@@ -105,9 +128,18 @@
                 self.handle_message(message, cancelled)
 
     def handle_last_data(self, data):
-        """Answer what came while the connection was being closed, before the shutdown of its stream."""
-        for message in self.decoder.feed(data):
-            self.answer_while_closing(message)
+        """Answer what came while the connection was being closed, before the shutdown of its stream.
+
+        What comes after MAX_LATE_MESSAGES messages is dropped undecoded.
+        """
+        while self.late_messages < MAX_LATE_MESSAGES:
+            messages = self.decoder.feed(data, MAX_MESSAGES_PER_TURN)
+            data = b""
+            if not messages:
+                return
+            self.late_messages += len(messages)
+            for message in messages:
+                self.answer_while_closing(message)
 
     def answer_while_closing(self, message):
         """Reject a message that was read after the close had begun.
@@ -269,10 +301,11 @@
         # `connections` is a dict for its order. An idle timeout of 0 seconds means none.
         self.connections, self.listener, self.idle_timeout = {}, None, 0.0
         self.draining = False
+        self.pacing = MessagePacing(scheduler)
 
     def accept(self, stream):
         """Take over a stream that the listener has accepted."""
-        stream.max_unsent = MAX_UNSENT_BYTES
+        stream.max_unsent, stream.read_size = MAX_UNSENT_BYTES, READ_SIZE_BYTES
         connection = Connection(self, stream)
         self.connections[connection] = None
         self.count("gateway.connections")
--- a/valeturn/protocol/frames.py
+++ b/valeturn/protocol/frames.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import struct
 from typing import NamedTuple
@@ -62,7 +63,9 @@
 
 
 class FrameDecoder:
-    """Decodes a stream of frames that may be split anywhere; buffers at most one unfinished frame.
+    """Decodes a stream of frames that may be split anywhere.
+
+    It buffers at most one unfinished frame, and the frames that a limit left for the next call.
 
     A submission of more than MAX_BUFFERED_BYTES is skipped while it arrives, and decoded to an
     InvalidSubmission at its end. After a ProtocolViolation nothing more is returned.
@@ -73,15 +76,21 @@
         # Bytes of a large frame that are still to be skipped, and the message to return then.
         self.bytes_to_skip, self.skipped_message = 0, None
 
-    def feed(self, data):
-        """Take received bytes; return the messages of the frames that are whole."""
+    def feed(self, data, limit=math.inf):
+        """Take received bytes; return the messages of the frames that are whole.
+
+        Args:
+            data: Bytes that follow those of earlier calls; they may be empty.
+            limit: How many messages are returned at most; the frames behind them stay buffered for the next
+                call.
+        """
         messages, position = [], 0
         if self.failed:
             return messages
         if self.bytes_to_skip:
             data = self._skip(data, messages)
         self.buffer += data
-        while len(self.buffer) - position >= 4:
+        while len(self.buffer) - position >= 4 and len(messages) < limit:
             length = int.from_bytes(self.buffer[position : position + 4], "little")
             if not MIN_FRAME_LENGTH <= length <= MAX_FRAME_LENGTH:
                 messages.append(ProtocolViolation(f"frame length {length}"))
@@ -115,7 +124,7 @@
 
     @property
     def unfinished(self):
-        """Whether a part of a frame has been received."""
+        """Whether a part of a frame, or a frame that was not returned yet, has been received."""
         return bool(self.buffer or self.bytes_to_skip)
 
     def _skip(self, data, messages):
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -40,13 +40,20 @@
     `fault` is None while the stream is usable, and then the StreamFault that ended it.
     """
 
-    def __init__(self, scheduler, sock, max_unsent=262144):
-        """`max_unsent` limits the bytes that are buffered for a slow reader."""
+    def __init__(self, scheduler, sock, max_unsent=262144, read_size=READ_SIZE_BYTES):
+        """Take over a connected socket.
+
+        Args:
+            scheduler: Runs the tasks that read and write.
+            sock: The socket.
+            max_unsent: Bytes that are buffered for a slow reader at most.
+            read_size: Bytes that one read returns at most.
+        """
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.scheduler, self.sock, self.max_unsent = scheduler, sock, max_unsent
-        self.unsent, self.writer, self.fault = bytearray(), None, None
+        self.unsent, self.writer, self.fault, self.read_size = bytearray(), None, None, read_size
         self.consecutive_reads = 0  # that found bytes
 
     def read(self, timeout=None):
@@ -73,7 +80,7 @@
         if self.fault is not None:
             return self.fault
         try:
-            return self.sock.recv(READ_SIZE_BYTES) or StreamFault.CLOSED
+            return self.sock.recv(self.read_size) or StreamFault.CLOSED
         except BlockingIOError:
             return None
         except OSError:
@@ -146,6 +153,7 @@
             bytes_left -= len(received)
             if on_data is not None:
                 on_data(received)
+            self.scheduler.pause()  # a peer that never stops sending must not make other tasks wait
         if self.fault is None and received is not StreamFault.RESET:
             try:
                 self.sock.shutdown(socket.SHUT_WR)
