Start no request whose client has closed its connection

Cause: what a client leaves unread can be read after its close, and was passed on before the end was read; the message about the end then waited for a place in the dispatcher's queue.

Change: a connection asks the kernel before each group of messages whether the other side has closed, the end of a connection does not wait, and the dispatcher drops submissions that nobody awaits. A connection that is held back wakes at its client's close.

--- a/tests/control/test_control_server.py
+++ b/tests/control/test_control_server.py
@@ -108,10 +108,13 @@
         with socket.socket(socket.AF_UNIX) as connection:
             connection.connect(path)
             connection.sendall(b"?\n" * 3000)
+            while connection.recv(65536):
+                pass
 
     def take_turns() -> None:
         threading.Thread(target=flood, daemon=True).start()
-        while answered < 300:
+        deadline = scheduler.clock() + 10.0
+        while answered < 300 and scheduler.clock() < deadline:
             answered_before_turn.append(answered)
             scheduler.pause()
         control.close()
@@ -120,4 +123,5 @@
     scheduler.spawn(take_turns)
     scheduler.run()
     steps = [after - before for before, after in itertools.pairwise([*answered_before_turn, answered])]
+    assert answered >= 300
     assert max(steps) <= 2 * MAX_MESSAGES_PER_TURN
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -411,6 +411,15 @@
     assert caller.answers[-1][:2] == (3, 0) and len(caller.answers) == 5
 
 
+def test_submission_whose_caller_left_before_it_was_taken_up_is_not_started(caller):
+    """Guards against requests that are read from the queue after their client has closed its connection."""
+    harness = DispatcherHarness()
+    caller.has_left = True
+    harness.arrive("file", caller, actions=[interface.Start])
+    assert not harness.commands and not harness.dispatcher.pending and not caller.answers
+    assert harness.counts["in.callers_gone"] == 1
+
+
 def test_failing_controller_leaves_true_answers_and_serving_goes_on(caller):
     harness = DispatcherHarness()
     harness.arrive("read", caller)
--- a/tests/dispatch/test_endings.py
+++ b/tests/dispatch/test_endings.py
@@ -476,7 +476,7 @@
         if connections is not None:
             bounds = bounds._replace(connections=connections)
         self.scheduler = scheduler
-        self.gateways = GatewayServer(scheduler, self.put.append, Known, bounds, self.count)
+        self.gateways = GatewayServer(scheduler, self.put.append, self.put.append, Known, bounds, self.count)
         self.gateways.listener = Listener(
             scheduler, ("127.0.0.1", 0), bounds.connections, self.gateways.accept, self.gateways.evict
         )
@@ -566,6 +566,25 @@
     run(scheduler, test)
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_requests_left_unread_by_a_client_that_closed_are_not_passed_on(scheduler, reset):  # noqa: F811
+    """Guards against requests that are started after their client has closed its connection."""
+    served = RunningGateways(scheduler)
+
+    def test():
+        connection, far = served.connect()
+        far.sendall(b"".join(submission(stream) for stream in range(1, 21)))
+        if reset:
+            far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        far.close()
+        until = time.monotonic() + 5
+        while not connection.ended and time.monotonic() < until:
+            scheduler.sleep(0.01)
+        assert connection.ended and not served.put
+
+    run(scheduler, test)
+
+
 def test_frames_behind_a_protocol_error_are_answered_too(scheduler):  # noqa: F811
     served = RunningGateways(scheduler)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -419,7 +419,10 @@
     """A gateway connection that keeps the answers sent on it: (stream, code, body)."""
 
     def __init__(self):
-        self.answers, self.refused, self.invalid_reasons = [], None, []
+        self.answers, self.refused, self.invalid_reasons, self.has_left = [], None, [], False
+
+    def awaits(self, stream):
+        return not self.has_left
 
     def reject_invalid(self, stream, reason):
         self.invalid_reasons.append(reason)
--- a/tests/lab/test_client_floods.py
+++ b/tests/lab/test_client_floods.py
@@ -35,3 +35,10 @@
     assert max(report.answer_times_s) <= CALM_TIMEOUT_S + 0.1 and "silent" not in report.outcomes, (
         report.line()
     )
+
+
+def test_clients_that_close_with_requests_unread_delay_no_calm_gateway():
+    """Guards against requests of departed clients that are taken up and take the others' turns."""
+    report = measure(FloodPlan("abandoned-submissions", FLOOD_S, connections=200))
+    assert set(report.outcomes) == {"served"}, report.line()
+    assert report.quantile_s(0.95) <= LATENCY_OBJECTIVE_S, report.line()
--- a/tests/transport/test_message_pacing.py
+++ b/tests/transport/test_message_pacing.py
@@ -1,10 +1,13 @@
 """Connections that send more messages than they need give way to others."""
 
+import socket
+
 import pytest
 from loop_support import run
 
 from valeturn.transport import message_pacing
 from valeturn.transport.message_pacing import MessageBudget, MessagePacing
+from valeturn.transport.streams import Stream
 
 
 def test_budget_is_used_up_by_many_messages_in_one_period_and_new_in_the_next():
@@ -20,10 +23,12 @@
     pacing, handled, turns = MessagePacing(scheduler), [0], []
 
     def flooding():
-        budget = MessageBudget()
+        near, far = socket.socketpair()
+        stream, budget = Stream(scheduler, near), MessageBudget()
         while len(turns) < 20:
             handled[0] += 1
-            pacing.after(budget, 1)
+            pacing.after(stream, budget, 1)
+        far.close()
 
     def calm():
         for _ in range(20):
@@ -34,3 +39,45 @@
     gaps = [after - before for before, after in zip([0, *turns], turns, strict=False)]
     assert max(gaps) <= 3 * flooding_count * message_pacing.MAX_MESSAGES_PER_TURN
     assert pacing.pauses >= flooding_count
+
+
+def test_pause_of_a_connection_ends_when_its_client_closes(scheduler, monkeypatch):
+    """Guards against requests that are started while nobody looks whether their client has left."""
+    monkeypatch.setattr(message_pacing, "PERIOD_S", 5.0)
+    monkeypatch.setattr(message_pacing, "MAX_PAUSE_S", 5.0)
+    near, far = socket.socketpair()
+    stream, pacing, paused = Stream(scheduler, near), MessagePacing(scheduler), []
+
+    def flooding():
+        began = scheduler.clock()
+        pacing.after(stream, MessageBudget(), message_pacing.MESSAGES_PER_PERIOD)
+        paused.append(scheduler.clock() - began)
+
+    def client():
+        far.sendall(b"unread")
+        scheduler.sleep(0.05)
+        far.close()
+
+    run(scheduler, flooding, client)
+    assert 0.04 < paused[0] < 2.0 and stream.peer_has_closed()
+
+
+def test_connection_that_broke_still_gives_way(scheduler):
+    near, far = socket.socketpair()
+    stream, pacing, turns = Stream(scheduler, near), MessagePacing(scheduler), []
+    stream.close()
+    far.close()
+
+    def flooding():
+        budget = MessageBudget()
+        for _ in range(20):
+            pacing.after(stream, budget, message_pacing.MESSAGES_PER_PERIOD)
+            turns.append("flooding")
+
+    def calm():
+        for _ in range(20):
+            turns.append("calm")
+            scheduler.pause()
+
+    run(scheduler, flooding, calm)
+    assert turns[:20].count("calm") >= 8
--- a/tests/transport/test_transport.py
+++ b/tests/transport/test_transport.py
@@ -458,13 +458,19 @@
     def nothing_pending(self):
         return False
 
+    def peer_has_closed(self):
+        return False
+
+    def wait_for_hangup(self, timeout):
+        return False
+
     def close(self):
         self.closed = True
 
 
 def connection(scheduler, *reads):
     put = []
-    gateways = GatewayServer(scheduler, put.append, Known, derive(384, 64), lambda *_: None)
+    gateways = GatewayServer(scheduler, put.append, put.append, Known, derive(384, 64), lambda *_: None)
     return accepted(gateways, RecordingStream(*reads)), put
 
 
--- a/valeturn/cluster/peer_connections.py
+++ b/valeturn/cluster/peer_connections.py
@@ -265,7 +265,7 @@
                     if reason is not None:
                         self._count("cluster.messages_rejected." + reason.value)
                         return
-                    self._pacing.after(budget, 1)
+                    self._pacing.after(connection.stream, budget, 1)
                     if connection.stream.fault is not None:  # closed meanwhile
                         return
         finally:
--- a/valeturn/control/server.py
+++ b/valeturn/control/server.py
@@ -163,7 +163,9 @@
                     break
                 for line in lines:
                     stream.write(self._answer_line(line))
-                    self.pacing.after(budget, 1)
+                    self.pacing.after(stream, budget, 1)
+                    if stream.fault is not None:  # nobody reads the answers any more
+                        return
         finally:
             self.client_count -= 1
             stream.lingering_close(LINGER_S)
--- a/valeturn/dispatch/dispatcher.py
+++ b/valeturn/dispatch/dispatcher.py
@@ -138,6 +138,10 @@
         """Put a message into the queue; waits while the queue is full."""
         self.mailbox.put(message)
 
+    def push(self, message):
+        """Put a message into the queue at once: the end of a connection, of which each open one has one."""
+        self.mailbox.push(message)
+
     def run(self):
         """Run turns for ever, as a task."""
         while True:
@@ -320,6 +324,9 @@
     def on_submission_received(self, now, message):
         """Register a submission as pending and pass it to the controller, or answer it at once."""
         submission, connection = message.submission, message.connection
+        if not connection.awaits(submission.stream):  # cancelled, or its connection has ended
+            self.count("in.callers_gone")
+            return
         if self.controller is None or len(self.pending) >= self.max_pending:
             self.count("in.too_early" if self.controller is None else "in.over_all")
             connection.reject(submission.stream, self.advertised_load)
@@ -329,11 +336,12 @@
             self.count("in.again")
             connection.fail(submission.stream, self.advertised_load)
             return
-        self.last_number += 1
-        number, workload = self.last_number, self.decoded_settings.workloads[submission.workload]
+        workload = self.decoded_settings.workloads[submission.workload]
         workload_settings = self.settings.workloads[workload]
-        waited = max(0.0, time.time() - submission.arrived_at)
         key = self.deduplication.key_of(submission, workload, workload_settings)
+        self.last_number += 1
+        number = self.last_number
+        waited = max(0.0, time.time() - submission.arrived_at)
         pending = PendingRequest(
             now,
             number,
--- a/valeturn/dispatch/gateway_server.py
+++ b/valeturn/dispatch/gateway_server.py
@@ -22,6 +22,8 @@
 # Messages that are decoded after the close of a connection has begun: a gateway has at most 32 submissions
 # open, and may cancel each or ask for health in between.
 MAX_LATE_MESSAGES = 128
+# Of these, decoded at a time: an answer to a connection that its other side has closed shows at the next one.
+LATE_MESSAGES_PER_STEP = 4
 # Answers that wait for one reader: 32 of the longest. A reader with more than that is too slow.
 MAX_UNSENT_BYTES = 163840
 # Stream numbers remembered out of order; beyond that the lowest gap counts as used. At most 32 are open.
@@ -104,15 +106,22 @@
     def handle_data(self, data):
         """Handle the messages of one read a few at a time, so that other connections get their turns.
 
-        A connection that sends more than its budget is not read for a while.
+        A connection that sends more than its budget is not read for a while. What a client has left unread
+        behind when it closed the connection is not passed on: nobody waits for it.
         """
-        messages = self.decoder.feed(data, MAX_MESSAGES_PER_TURN)
-        while messages:
-            self.handle_messages(messages)
-            if self.closing or self.ended:
+        while not self.closing and not self.ended:
+            if self.stream.peer_has_closed():
+                self.gateways.count("gateway.left_unread")
+                self.close()
+                self.handle_last_data(data)
+                return
+            messages = self.decoder.feed(data, MAX_MESSAGES_PER_TURN)
+            data = b""
+            if not messages:
                 return
-            self.gateways.pacing.after(self.budget, len(messages))
-            messages = [] if self.closing or self.ended else self.decoder.feed(b"", MAX_MESSAGES_PER_TURN)
+            self.handle_messages(messages)
+            if not self.closing and not self.ended:
+                self.gateways.pacing.after(self.stream, self.budget, len(messages))
 
     def handle_messages(self, messages):
         """Handle messages that were read together, in their order."""
@@ -130,10 +139,11 @@
     def handle_last_data(self, data):
         """Answer what came while the connection was being closed, before the shutdown of its stream.
 
-        What comes after MAX_LATE_MESSAGES messages is dropped undecoded.
+        What comes after MAX_LATE_MESSAGES messages, or once the other side is known to read no answers, is
+        dropped undecoded.
         """
-        while self.late_messages < MAX_LATE_MESSAGES:
-            messages = self.decoder.feed(data, MAX_MESSAGES_PER_TURN)
+        while self.late_messages < MAX_LATE_MESSAGES and self.stream.fault is None:
+            messages = self.decoder.feed(data, LATE_MESSAGES_PER_STEP)
             data = b""
             if not messages:
                 return
@@ -245,6 +255,10 @@
 
     # Called by the dispatcher.
 
+    def awaits(self, stream):
+        """Return whether somebody waits for the answer on a stream."""
+        return stream in self.open_streams
+
     def deliver(self, stream, load, result):
         """Answer with the result of a run."""
         self.answer(stream, frames.delivered(stream, result, load))
@@ -296,8 +310,25 @@
 class GatewayServer:
     """All connections of gateways, within the limits on their number and on unsent answers."""
 
-    def __init__(self, scheduler, put, names, limits, count):
-        self.scheduler, self.put, self.names, self.limits, self.count = scheduler, put, names, limits, count
+    def __init__(self, scheduler, put, push, names, limits, count):
+        """Begin without connections.
+
+        Args:
+            scheduler: Runs a task for each connection.
+            put: Puts a message into the dispatcher's queue; waits while that is full.
+            push: The same without a wait, for the ends of connections.
+            names: The workloads and tenants that a submission may name.
+            limits: The `ResourceLimits` of the server.
+            count: Increments a counter.
+        """
+        self.scheduler, self.put, self.push, self.names, self.limits, self.count = (
+            scheduler,
+            put,
+            push,
+            names,
+            limits,
+            count,
+        )
         # `connections` is a dict for its order. An idle timeout of 0 seconds means none.
         self.connections, self.listener, self.idle_timeout = {}, None, 0.0
         self.draining = False
@@ -332,7 +363,7 @@
         if connection.open_streams:
             message = ConnectionClosed(connection, frozenset(connection.open_streams))
             connection.open_streams.clear()
-            self.scheduler.spawn(self.put, message, name="ended")
+            self.push(message)
 
     def limit_unsent(self):
         """End the connections with the most unsent bytes while all together exceed the limit."""
--- a/valeturn/lab/flood_client.py
+++ b/valeturn/lab/flood_client.py
@@ -31,6 +31,7 @@
 LARGEST_FRAME_LENGTH: Final = 262_144
 LARGEST_BUFFERED_LENGTH: Final = 4_096  # a frame up to this length is buffered whole by the server
 FIELDS_PER_FRAME: Final = 255
+MAX_OPEN_SUBMISSIONS: Final = 32  # on one connection
 
 numbers = itertools.count(1)
 
@@ -89,6 +90,11 @@
     return repeated(submission)
 
 
+def abandoned_submissions() -> Chunks:
+    """Yield as many submissions as a connection may have open; nobody waits for their answers."""
+    yield b"".join(submission(stream) for stream in range(1, 1 + MAX_OPEN_SUBMISSIONS))
+
+
 def unknown_workloads() -> Chunks:
     """Yield submissions whose workload and tenant were never used before."""
     return repeated(lambda stream: submission(stream, f"w{next(numbers)}", f"t{next(numbers)}"))
@@ -104,6 +110,12 @@
     return repeated(lambda stream: encode_frame(77, stream, b""))
 
 
+def many_field_health_checks() -> Chunks:
+    """Yield health checks with as many fields as a frame can have."""
+    payload = fields_payload({f"{number:x}": "" for number in range(FIELDS_PER_FRAME)})
+    return repeated(lambda stream: encode_frame(HEALTH_CHECK_FRAME, stream, payload))
+
+
 def many_short_fields() -> Chunks:
     """Yield submissions with as many fields as a frame can have, and stop in the middle of the last one."""
     fields = fields_payload({f"{number:x}": "" for number in range(FIELDS_PER_FRAME)})
@@ -138,14 +150,19 @@
     "cancels": cancels,
     "cancelled-submissions": cancelled_submissions,
     "submissions": submissions,
+    "abandoned-submissions": abandoned_submissions,
     "unknown-workloads": unknown_workloads,
     "invalid-submissions": invalid_submissions,
     "malformed-frames": malformed_frames,
+    "many-field-health-checks": many_field_health_checks,
+    "unread-health-checks": health_checks,
     "many-short-fields": many_short_fields,
     "half-large-frame": half_large_frame,
     "half-buffered-frame": half_buffered_frame,
     "slow-frame": slow_frame,
 }
+NEVER_READING_KINDS: Final = ("unread-health-checks",)
+CLOSING_KINDS: Final = ("abandoned-submissions",)  # the client closes as soon as it has written all
 
 
 class FloodConnection:
@@ -178,7 +195,10 @@
         self.sock.setblocking(False)
         self.chunks = KINDS[self.kind]()
         self.unsent = next(self.chunks)
-        self.selector.register(self.sock, selectors.EVENT_READ | selectors.EVENT_WRITE, self)
+        events = selectors.EVENT_READ | selectors.EVENT_WRITE
+        if self.kind in NEVER_READING_KINDS:
+            events = selectors.EVENT_WRITE
+        self.selector.register(self.sock, events, self)
 
     def close(self) -> None:
         """Close the connection; another one is opened after a moment."""
@@ -192,7 +212,8 @@
         """Read and write what the socket allows."""
         assert self.sock is not None
         try:
-            if events & selectors.EVENT_READ and not self.sock.recv(READ_SIZE_BYTES):
+            reads = events & selectors.EVENT_READ and self.kind not in NEVER_READING_KINDS
+            if reads and not self.sock.recv(READ_SIZE_BYTES):
                 self.close()
                 return
             if events & selectors.EVENT_WRITE:
@@ -208,7 +229,11 @@
         sent = self.sock.send(self.unsent)
         self.bytes_written += sent
         self.unsent = self.unsent[sent:] or next(self.chunks, b"")
-        if not self.unsent:
+        if self.unsent:
+            return
+        if self.kind in CLOSING_KINDS:
+            self.close()
+        else:
             self.selector.modify(self.sock, selectors.EVENT_READ, self)
 
 
--- a/valeturn/server/server.py
+++ b/valeturn/server/server.py
@@ -128,7 +128,9 @@
         self.executor = ExecutorClient(scheduler, configuration.executor, random_source, self._post, count)
         self.components = self._open_components()
         self.ledger = LedgerClient(scheduler, configuration.ledger, self.limits.calls, self._post, count)
-        self.gateways = GatewayServer(scheduler, self._post, configuration.names, self.limits, count)
+        self.gateways = GatewayServer(
+            scheduler, self._post, self._push, configuration.names, self.limits, count
+        )
         self.registry = RegistryClient(
             scheduler, configuration.naming, configuration.name, random_source, count
         )
@@ -149,6 +151,9 @@
     def _post(self, message: object) -> None:
         self.dispatcher.put(message)
 
+    def _push(self, message: object) -> None:
+        self.dispatcher.push(message)
+
     def _open_components(self) -> dict[str, Component]:
         """Return the opened components by section; without an operator's file their code isn't imported."""
         if self.options is None:
--- a/valeturn/transport/message_pacing.py
+++ b/valeturn/transport/message_pacing.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from .scheduler import Scheduler
+from .streams import Stream
 
 # Messages that are decoded and handled before other tasks get their turn.
 MAX_MESSAGES_PER_TURN = 32
@@ -60,22 +61,28 @@
         self._scheduler = scheduler
         self._paused_connections = 0
 
-    def after(self, budget: MessageBudget, count: int) -> None:
+    def after(self, stream: Stream, budget: MessageBudget, count: int) -> None:
         """Count messages of a connection that were handled, and suspend its task where that is due.
 
+        A pause ends at once when the other side closes the connection.
+
         Args:
+            stream: The connection.
             budget: The connection's budget.
             count: How many messages were handled since the last call.
         """
         if budget.spend(self._scheduler.clock(), count):
-            self._hold_back()
+            self._hold_back(stream)
         elif budget.ends_turn():
             self._scheduler.pause()
 
-    def _hold_back(self) -> None:
+    def _hold_back(self, stream: Stream) -> None:
         self.pauses += 1
         self._paused_connections += 1
         try:
-            self._scheduler.sleep(min(MAX_PAUSE_S, PERIOD_S * self._paused_connections))
+            if stream.fault is not None:
+                self._scheduler.pause()
+                return
+            stream.wait_for_hangup(min(MAX_PAUSE_S, PERIOD_S * self._paused_connections))
         finally:
             self._paused_connections -= 1
--- a/valeturn/transport/scheduler.py
+++ b/valeturn/transport/scheduler.py
@@ -19,6 +19,8 @@
 # would only delay what has been read.
 MAX_DEFERRED_ROUNDS = 4
 READ, WRITE = select.POLLIN, select.POLLOUT
+# The other side has shut down its sending side, though bytes may still be unread.
+HANGUP = select.POLLRDHUP
 # Before a supervised task that failed starts again: its fault may recur at once, with a log line each time.
 RESTART_DELAY_S = 0.1
 
@@ -30,6 +32,13 @@
     return bool(poller.poll(0))
 
 
+def hung_up(fd):
+    """Whether the other side of a connection has closed or reset it; never waits."""
+    poller = select.poll()
+    poller.register(fd, HANGUP)
+    return bool(poller.poll(0))
+
+
 class Cancelled(greenlet.GreenletExit):
     """Raised in a task that another task has cancelled."""
 
@@ -70,7 +79,7 @@
         self.clock, self.on_failure = clock, on_failure
         # Entries of the queues are (task, value of its wake); of the heap (time, sequence, timer).
         self.ready, self.low_priority_ready, self.timers, self.sequence = deque(), deque(), [], 0
-        self.poller, self.waiting = select.poll(), {}  # fd -> {READ or WRITE: task}
+        self.poller, self.waiting = select.poll(), {}  # fd -> {READ, WRITE or HANGUP: task}
         self.polled = {}  # fd -> events the poller looks for, which may be more than tasks wait for
         self.hub, self.stopping, self.deferred_rounds = None, False, 0
         # For the counters: how often a task was resumed, and seconds that timers were late.
@@ -163,7 +172,7 @@
     # ---- sockets
 
     def wait_fd(self, fd, event, timeout=None):
-        """Wait for READ or WRITE; True once the descriptor is ready, False after the timeout."""
+        """Wait for READ, WRITE or HANGUP; True once the descriptor is ready, False after the timeout."""
         tasks = self.waiting.setdefault(fd, {})
         if event in tasks:
             raise RuntimeError("two tasks wait for the same event of one descriptor")
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -6,7 +6,7 @@
 import socket
 from enum import Enum
 
-from .scheduler import READ, WRITE, readable
+from .scheduler import HANGUP, READ, WRITE, hung_up, readable
 
 READ_SIZE_BYTES = 65536  # one read takes a whole burst of submissions, which are some hundred bytes each
 # Reads in a row that find bytes before other tasks get their turn: a peer that writes faster than this side
@@ -90,6 +90,14 @@
         """Whether nothing is unread or unsent at this moment, so that a close resets nothing."""
         return self.fault is None and not self.unsent and not readable(self.sock.fileno())
 
+    def peer_has_closed(self):
+        """Whether the other side has closed or reset the connection, though bytes may still be unread."""
+        return self.fault is not None or hung_up(self.sock.fileno())
+
+    def wait_for_hangup(self, timeout):
+        """Wait until the other side closes or resets the connection; False after the timeout in seconds."""
+        return self.fault is not None or self.scheduler.wait_fd(self.sock.fileno(), HANGUP, timeout)
+
     def interrupt(self):
         """End a task's wait for something to read."""
         if self.fault is None:
