Run no id a second time after its first run has ended

What callers saw: an unrepeatable submission, or a deduplicated one without a key, ran again when its id came once more after its client had left and the run had ended.

Cause: ids were known only while their submission was pending.

Change: ids of submissions that may have run are kept for 60 s or the longest time-out, within a bound that follows from the memory; one that comes again is answered as failed. Idempotent work and work with a key are left out.

--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -8,6 +8,7 @@
 from valeturn.admission import interface
 from valeturn.admission.controller import AdmissionController
 from valeturn.dispatch import messages
+from valeturn.dispatch.executed_ids import ExecutedIds
 from valeturn.dispatch.executor_client import REPLAY_END
 from valeturn.dispatch.turn_pacing import TurnPacing
 from valeturn.protocol import executor as executor_protocol
@@ -420,6 +421,45 @@
     assert harness.counts["in.callers_gone"] == 1
 
 
+@pytest.mark.parametrize("end", [RunResult.DONE, RunResult.FAILED, RunResult.STOPPED])
+@pytest.mark.parametrize("workload", ["file", "book"])
+def test_id_that_comes_again_after_its_caller_left_is_not_run_again(caller, workload, end):
+    """Guards against a second run of one id whose first run ended while nobody waited for it."""
+    harness, again = DispatcherHarness(), Caller()
+    number, call = harness.arrive(workload, caller, actions=[interface.Start])
+    stream = harness.dispatcher.pending[number].stream
+    harness.turn(messages.SubmissionCancelled(caller, stream))
+    harness.turn(run_ended(call, end, b""))
+    assert not harness.dispatcher.pending
+    harness.arrive(workload, again, actions=[interface.Start], call_id=call)
+    assert [command["t"] for command in harness.commands] == ["EXEC"] and answer_codes(again) == [FAILED]
+    harness.now += 100.0
+    harness.dispatcher.executed_ids.expire(harness.now)
+    assert len(harness.dispatcher.executed_ids) == 0
+
+
+def test_id_that_never_ran_or_may_run_twice_may_come_again(caller):
+    harness = DispatcherHarness()
+    _, rejected = harness.arrive("file", caller, actions=[interface.Reject])
+    _, moot = harness.arrive("file", caller, actions=[interface.Start])
+    harness.turn(run_ended(moot, RunResult.NOTHING, b""))
+    _, read = harness.arrive("read", caller, actions=[interface.Start])
+    harness.turn(run_ended(read, number=2))
+    harness.commands.clear()
+    for workload, call in (("file", rejected), ("file", moot), ("read", read)):
+        harness.arrive(workload, caller, actions=[interface.Start], call_id=call)
+    assert [command["rid"] for command in harness.commands] == [rejected, moot, read]
+
+
+def test_executed_ids_are_kept_within_their_limit():
+    ids = ExecutedIds(3, 10.0)
+    for number in range(5):
+        ids.add(float(number), f"{number:016x}")
+    assert [ids.contains(f"{number:016x}") for number in range(5)] == [False, False, True, True, True]
+    ids.expire(13.0)
+    assert [ids.contains(f"{number:016x}") for number in range(5)] == [False, False, False, False, True]
+
+
 def test_failing_controller_leaves_true_answers_and_serving_goes_on(caller):
     harness = DispatcherHarness()
     harness.arrive("read", caller)
--- a/valeturn/dispatch/dispatcher.py
+++ b/valeturn/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
 from ..transport.scheduler import Mailbox
 from . import messages
 from .deduplication import Deduplication
+from .executed_ids import IDS_PER_REQUEST, ExecutedIds
 from .executions import Executions
 from .pending_request import IN_DOUBT, NOT_RUNNING, UNSENT, PendingRequest
 
@@ -26,6 +27,8 @@
 # Deep checks at once: as many as a large fleet's gateways send in one second. Past it the state that the
 # controller set answers.
 MAX_HEALTH_CHECKS = 64
+# Seconds, at least, for which the id of a submission that may have run is kept after its end.
+MIN_ID_LIFETIME_S = 60.0
 
 # The method of a gateway connection that sends an answer, by the name that the answer is counted under.
 ANSWERS = {
@@ -102,6 +105,10 @@
             Executions(self),
             Deduplication(self, limits.results, result_store),
         )
+        longest_timeout = max(workload.timeout for workload in self.settings.workloads)
+        self.executed_ids = ExecutedIds(
+            IDS_PER_REQUEST * limits.submissions, max(MIN_ID_LIFETIME_S, longest_timeout)
+        )
         # Health as the controller sets it, and whether deep checks are answered like shallow ones; the load
         # value sent with answers; deep checks under way: token -> (connection, stream).
         self.healthy, self.shallow, self.advertised_load, self.health_checks = False, True, None, {}
@@ -242,6 +249,7 @@
             self.events += self.degradation.update(now, self.is_warming_up(now))
         if due:
             self.deduplication.expire(now)
+            self.executed_ids.expire(now)
             self.executor.check()
 
     def is_warming_up(self, now):
@@ -339,6 +347,10 @@
         workload = self.decoded_settings.workloads[submission.workload]
         workload_settings = self.settings.workloads[workload]
         key = self.deduplication.key_of(submission, workload, workload_settings)
+        if key is None and self.executed_ids.contains(submission.call_id):
+            self.count("in.executed_before")
+            connection.fail(submission.stream, self.advertised_load)
+            return
         self.last_number += 1
         number = self.last_number
         waited = max(0.0, time.time() - submission.arrived_at)
@@ -486,6 +498,9 @@
         """Remove a submission from the tables; its call id may come again."""
         if self.pending.pop(pending.number, None) is not None:
             self.deduplication.release(pending)
+            repeatable = pending.workload_settings.effect is interface.Effect.IDEMPOTENT
+            if pending.may_have_run and not repeatable and pending.key is None:
+                self.executed_ids.add(self.scheduler.clock(), pending.call_id)
         self.by_call_id.pop(pending.call_id, None)
         self.by_stream.pop((pending.connection, pending.stream), None)
 
--- a/valeturn/dispatch/executions.py
+++ b/valeturn/dispatch/executions.py
@@ -188,7 +188,8 @@
         self.dispatcher.count("run." + outcome.name.lower())
         if outcome is interface.Outcome.MOOT:
             # It ended without running: if it copied the key of another submission, that one must not
-            # be rejected because of the key.
+            # be rejected because of the key or of the id.
+            pending.may_have_run = False
             self.dispatcher.deduplication.never_started(pending)
             self.dispatcher.deduplication.table.remove(pending.number)
         self.dispatcher.ledger.cancel(pending.number)
