Wrap a descriptor by the right argument in a test of reused numbers

test_reused_descriptor_number_belongs_to_the_new_connection_alone failed once with a TypeError: where neither end of the new pair gets the old number it calls socket.socket(fd=...), which does not exist. Whether it gets there depends on which numbers are free. The argument is called fileno; the checks are as before.

--- a/tests/dispatch/test_endings.py
+++ b/tests/dispatch/test_endings.py
@@ -434,7 +434,7 @@
         while copies[-1] != number:
             copies.append(os.dup(near.fileno()))
             assert len(copies) < 50
-        again = Stream(scheduler, near if near.fileno() == number else socket.socket(fd=number))
+        again = Stream(scheduler, near if near.fileno() == number else socket.socket(fileno=number))
         new = []
         scheduler.spawn(lambda: new.append(again.read(5.0)))
         scheduler.sleep(0.01)
