Share one rate of messages among all flooding connections

Cause: a round over all connections took longer than the period of the budget, so that none was ever over it; frames of many fields cost as much as several others.

Change: one shared rate; as it is exceeded each connection may send less without a pause. Every 32 fields count as a message, and a connection that does not read its answers is not read.

Counters say how often a connection is held back.

--- a/tests/lab/test_client_floods.py
+++ b/tests/lab/test_client_floods.py
@@ -37,6 +37,14 @@
     )
 
 
+@pytest.mark.parametrize("kind", ["many-field-health-checks", "unread-health-checks", "health-checks"])
+def test_hundreds_of_flooding_connections_delay_no_calm_gateway(kind):
+    """Guards against a budget for each connection that adds up to more than the process can handle."""
+    report = measure(FloodPlan(kind, FLOOD_S, connections=200))
+    assert set(report.outcomes) == {"served"}, report.line()
+    assert report.quantile_s(0.95) <= LATENCY_OBJECTIVE_S, report.line()
+
+
 def test_clients_that_close_with_requests_unread_delay_no_calm_gateway():
     """Guards against requests of departed clients that are taken up and take the others' turns."""
     report = measure(FloodPlan("abandoned-submissions", FLOOD_S, connections=200))
--- a/tests/transport/test_message_pacing.py
+++ b/tests/transport/test_message_pacing.py
@@ -20,7 +20,8 @@
 @pytest.mark.parametrize("flooding_count", [1, 10, 100])
 def test_other_tasks_run_between_the_messages_of_flooding_connections(scheduler, flooding_count):
     """Guards against a loop that handles all that one connection sent before anything else runs."""
-    pacing, handled, turns = MessagePacing(scheduler), [0], []
+    pauses, handled, turns = [], [0], []
+    pacing = MessagePacing(scheduler, lambda: pauses.append(1))
 
     def flooding():
         near, far = socket.socketpair()
@@ -38,7 +39,7 @@
     run(scheduler, calm, *[flooding] * flooding_count)
     gaps = [after - before for before, after in zip([0, *turns], turns, strict=False)]
     assert max(gaps) <= 3 * flooding_count * message_pacing.MAX_MESSAGES_PER_TURN
-    assert pacing.pauses >= flooding_count
+    assert len(pauses) >= flooding_count
 
 
 def test_pause_of_a_connection_ends_when_its_client_closes(scheduler, monkeypatch):
@@ -46,7 +47,7 @@
     monkeypatch.setattr(message_pacing, "PERIOD_S", 5.0)
     monkeypatch.setattr(message_pacing, "MAX_PAUSE_S", 5.0)
     near, far = socket.socketpair()
-    stream, pacing, paused = Stream(scheduler, near), MessagePacing(scheduler), []
+    stream, pacing, paused = Stream(scheduler, near), MessagePacing(scheduler, lambda: None), []
 
     def flooding():
         began = scheduler.clock()
@@ -64,7 +65,7 @@
 
 def test_connection_that_broke_still_gives_way(scheduler):
     near, far = socket.socketpair()
-    stream, pacing, turns = Stream(scheduler, near), MessagePacing(scheduler), []
+    stream, pacing, turns = Stream(scheduler, near), MessagePacing(scheduler, lambda: None), []
     stream.close()
     far.close()
 
@@ -81,3 +82,26 @@
 
     run(scheduler, flooding, calm)
     assert turns[:20].count("calm") >= 8
+
+
+def test_connections_held_back_together_send_no_more_than_a_few(scheduler):
+    pacing, allowances = MessagePacing(scheduler, lambda: None), []
+
+    def flooding():
+        near, far = socket.socketpair()
+        pacing.after(Stream(scheduler, near), MessageBudget(), message_pacing.MESSAGES_PER_PERIOD)
+        far.close()
+
+    def watch():
+        for _ in range(4):
+            allowances.append(pacing.allowance())
+            for _ in range(50):
+                scheduler.spawn(flooding)
+            scheduler.pause()
+            scheduler.pause()
+        allowances.append(pacing.allowance())
+
+    run(scheduler, watch)
+    assert allowances[0] == message_pacing.MESSAGES_PER_PERIOD
+    assert allowances == sorted(allowances, reverse=True)
+    assert allowances[-1] * 200 / message_pacing.MAX_PAUSE_S <= message_pacing.MESSAGES_PER_S
--- a/valeturn/cluster/peer_connections.py
+++ b/valeturn/cluster/peer_connections.py
@@ -160,7 +160,7 @@
         self._peers: dict[str, Peer] = {}  # by address
         self._generations: dict[str, int] = {}  # the latest known, by name
         self._closed = False
-        self._pacing = MessagePacing(scheduler)
+        self._pacing = MessagePacing(scheduler, lambda: count("cluster.peers_held_back"))
         address = parse_address(local.listen_address)
         self._listener = Listener(scheduler, address, limits.LINKS, self._accept, self._evict)
 
--- a/valeturn/control/server.py
+++ b/valeturn/control/server.py
@@ -122,7 +122,7 @@
         self.answer = answer
         self.count = count
         self.client_count = 0
-        self.pacing = MessagePacing(scheduler)
+        self.pacing = MessagePacing(scheduler, lambda: count("control.held_back"))
         self.listener = open_listening_socket(path)
         scheduler.spawn(self._accept_clients, name="control")
 
--- a/valeturn/dispatch/gateway_server.py
+++ b/valeturn/dispatch/gateway_server.py
@@ -6,7 +6,7 @@
 import time
 
 from ..protocol import frames
-from ..transport.message_pacing import MAX_MESSAGES_PER_TURN, MessageBudget, MessagePacing
+from ..transport.message_pacing import MessageBudget, MessagePacing
 from ..transport.streams import StreamFault
 from .messages import ConnectionClosed, HealthCheckRequested, SubmissionCancelled, SubmissionReceived
 
@@ -115,13 +115,15 @@
                 self.close()
                 self.handle_last_data(data)
                 return
-            messages = self.decoder.feed(data, MAX_MESSAGES_PER_TURN)
+            fields_before = self.decoder.field_count
+            messages = self.decoder.feed(data, self.gateways.pacing.turn_limit())
             data = b""
             if not messages:
                 return
             self.handle_messages(messages)
             if not self.closing and not self.ended:
-                self.gateways.pacing.after(self.stream, self.budget, len(messages))
+                cost = self.decoder.cost_since(fields_before, messages)
+                self.gateways.pacing.after(self.stream, self.budget, cost)
 
     def handle_messages(self, messages):
         """Handle messages that were read together, in their order."""
@@ -332,7 +334,7 @@
         # `connections` is a dict for its order. An idle timeout of 0 seconds means none.
         self.connections, self.listener, self.idle_timeout = {}, None, 0.0
         self.draining = False
-        self.pacing = MessagePacing(scheduler)
+        self.pacing = MessagePacing(scheduler, lambda: count("gateway.held_back"))
 
     def accept(self, stream):
         """Take over a stream that the listener has accepted."""
--- a/valeturn/protocol/frames.py
+++ b/valeturn/protocol/frames.py
@@ -19,6 +19,7 @@
 # Bytes of a frame that are buffered: enough for a body and all fields, and no more, as hundreds of
 # connections share the memory.
 MAX_BUFFERED_BYTES = 4096
+FIELDS_PER_MESSAGE = 32  # which cost as much to decode as the rest of a message; a submission has fewer
 MAX_BODY_BYTES = 2048  # of a submission
 # Frame types.
 SUBMISSION, ANSWER, CANCEL, HEALTH_CHECK, HEALTH, NO_MORE = 7, 8, 9, 1, 2, 3
@@ -75,22 +76,23 @@
         self.buffer, self.failed = bytearray(), False
         # Bytes of a large frame that are still to be skipped, and the message to return then.
         self.bytes_to_skip, self.skipped_message = 0, None
+        self.field_count = 0  # fields that the decoded frames had, as most of the time goes into these
 
     def feed(self, data, limit=math.inf):
         """Take received bytes; return the messages of the frames that are whole.
 
         Args:
             data: Bytes that follow those of earlier calls; they may be empty.
-            limit: How many messages are returned at most; the frames behind them stay buffered for the next
+            limit: The cost at which no further frame is decoded; the frames behind stay buffered for the next
                 call.
         """
-        messages, position = [], 0
+        messages, position, fields_before = [], 0, self.field_count
         if self.failed:
             return messages
         if self.bytes_to_skip:
             data = self._skip(data, messages)
         self.buffer += data
-        while len(self.buffer) - position >= 4 and len(messages) < limit:
+        while len(self.buffer) - position >= 4 and self.cost_since(fields_before, messages) < limit:
             length = int.from_bytes(self.buffer[position : position + 4], "little")
             if not MIN_FRAME_LENGTH <= length <= MAX_FRAME_LENGTH:
                 messages.append(ProtocolViolation(f"frame length {length}"))
@@ -110,11 +112,9 @@
             if len(self.buffer) - position < 4 + length:
                 break
             _, kind, stream = HEADER.unpack_from(self.buffer, position)
-            messages.append(
-                _decode_frame(
-                    kind, stream, bytes(self.buffer[position + HEADER.size : position + 4 + length])
-                )
-            )
+            payload = bytes(self.buffer[position + HEADER.size : position + 4 + length])
+            self.field_count += payload[0] if payload else 0
+            messages.append(_decode_frame(kind, stream, payload))
             position += 4 + length
             if isinstance(messages[-1], ProtocolViolation):
                 break
@@ -122,6 +122,13 @@
         del self.buffer[:position]
         return messages
 
+    def cost_since(self, field_count, messages):
+        """Return what messages cost that were decoded since the decoder had that field count.
+
+        A message costs 1, and 1 more for every FIELDS_PER_MESSAGE fields.
+        """
+        return len(messages) + (self.field_count - field_count) // FIELDS_PER_MESSAGE
+
     @property
     def unfinished(self):
         """Whether a part of a frame, or a frame that was not returned yet, has been received."""
--- a/valeturn/transport/message_pacing.py
+++ b/valeturn/transport/message_pacing.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from .scheduler import Scheduler
 from .streams import Stream
 
@@ -17,6 +19,9 @@
 MESSAGES_PER_PERIOD = 64
 PERIOD_S = 0.02  # also the pause of a connection that is held back alone
 MAX_PAUSE_S = 0.5  # well below the time in which a client has to be answered
+# Messages of all connections together, and how far they may get ahead of that rate.
+MESSAGES_PER_S = 6400.0
+MAX_BACKLOG_S = 4.0
 
 
 class MessageBudget:
@@ -27,19 +32,20 @@
         self._handled = 0
         self._handled_in_turn = 0
 
-    def spend(self, now: float, count: int) -> bool:
+    def spend(self, now: float, count: int, allowance: int = MESSAGES_PER_PERIOD) -> bool:
         """Count messages that were handled; return whether the budget of the period is used up.
 
         Args:
             now: The current time in seconds.
             count: How many messages were handled.
+            allowance: How many messages the connection may send in a period.
         """
         if now - self._period_began >= PERIOD_S:
             self._period_began = now
             self._handled = 0
         self._handled += count
         self._handled_in_turn += count
-        return self._handled >= MESSAGES_PER_PERIOD
+        return self._handled >= allowance
 
     def ends_turn(self) -> bool:
         """Return whether other tasks are to get their turn now; a new turn begins then."""
@@ -52,37 +58,54 @@
 class MessagePacing:
     """Gives other tasks their turns between the messages of the connections of one kind.
 
-    Attributes:
-        pauses: How often a connection was held back.
+    All connections share one rate. Past it those over their budgets wait longer, and where MAX_PAUSE_S is not
+    enough, each connection may send fewer messages at a time without a pause.
     """
 
-    def __init__(self, scheduler: Scheduler) -> None:
-        self.pauses = 0
+    def __init__(self, scheduler: Scheduler, on_pause: Callable[[], None]) -> None:
+        """Begin without a backlog.
+
+        Args:
+            scheduler: Runs the tasks of the connections.
+            on_pause: Called each time a connection is held back.
+        """
         self._scheduler = scheduler
-        self._paused_connections = 0
+        self._on_pause = on_pause
+        self._backlog_ends = 0.0  # when what was handled is within the shared rate again
+
+    def allowance(self) -> int:
+        """Return how many messages a connection may send in a period, which falls as the backlog grows."""
+        backlog_s = self._backlog_ends - self._scheduler.clock()
+        return int(MESSAGES_PER_PERIOD * MAX_PAUSE_S / max(MAX_PAUSE_S, backlog_s))
+
+    def turn_limit(self) -> int:
+        """Return how many messages may be decoded before other tasks get their turn."""
+        return min(MAX_MESSAGES_PER_TURN, self.allowance())
 
     def after(self, stream: Stream, budget: MessageBudget, count: int) -> None:
         """Count messages of a connection that were handled, and suspend its task where that is due.
 
-        A pause ends at once when the other side closes the connection.
+        A pause ends at once when the other side closes the connection. One that does not read what it is sent
+        is held back whatever its budget.
 
         Args:
             stream: The connection.
             budget: The connection's budget.
             count: How many messages were handled since the last call.
         """
-        if budget.spend(self._scheduler.clock(), count):
+        now = self._scheduler.clock()
+        allowance = self.allowance()
+        backlog_ends = max(now, self._backlog_ends) + count / MESSAGES_PER_S
+        self._backlog_ends = min(now + MAX_BACKLOG_S, backlog_ends)
+        if budget.spend(now, count, allowance) or stream.unsent:
             self._hold_back(stream)
         elif budget.ends_turn():
             self._scheduler.pause()
 
     def _hold_back(self, stream: Stream) -> None:
-        self.pauses += 1
-        self._paused_connections += 1
-        try:
-            if stream.fault is not None:
-                self._scheduler.pause()
-                return
-            stream.wait_for_hangup(min(MAX_PAUSE_S, PERIOD_S * self._paused_connections))
-        finally:
-            self._paused_connections -= 1
+        self._on_pause()
+        if stream.fault is not None:
+            self._scheduler.pause()
+            return
+        backlog_s = self._backlog_ends - self._scheduler.clock()
+        stream.wait_for_hangup(min(MAX_PAUSE_S, max(PERIOD_S, backlog_s)))
