--- a/tests/dispatch/test_endings.py
+++ b/tests/dispatch/test_endings.py
@@ -16,9 +16,9 @@
 
 from valeturn.admission.interface import Outcome
 from valeturn.dispatch import executor_client as executor_module
+from valeturn.dispatch import gateway_connection, messages
 from valeturn.dispatch import gateway_server as gateway_module
 from valeturn.dispatch import ledger_client as ledger_module
-from valeturn.dispatch import messages
 from valeturn.dispatch.executor_client import ExecutorClient
 from valeturn.dispatch.gateway_server import GatewayServer
 from valeturn.dispatch.http_exchange import exchange
@@ -604,14 +604,14 @@
 
 def test_fault_in_one_connection_ends_it_with_its_answers_and_no_other(scheduler, monkeypatch):  # noqa: F811
     served = RunningGateways(scheduler)
-    handle_message = gateway_module.Connection.handle_message
+    handle_message = gateway_connection.Connection.handle_message
 
     def faulty(self, message, cancelled=()):
         if message.stream == 7:
             raise ZeroDivisionError
         return handle_message(self, message, cancelled)
 
-    monkeypatch.setattr(gateway_module.Connection, "handle_message", faulty)
+    monkeypatch.setattr(gateway_connection.Connection, "handle_message", faulty)
 
     def test():
         connection, far = served.connect()
--- a/tests/lab/test_floods.py
+++ b/tests/lab/test_floods.py
@@ -44,7 +44,7 @@
             "crashed",
         ),
         (
-            """from valeturn.dispatch.gateway_server import Connection
+            """from valeturn.dispatch.gateway_connection import Connection
 take = Connection.handle_message
 Connection.handle_message = lambda self, m, w=(): 1 / 0 if m.stream == 9 else take(self, m, w)""",
             "faults",
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -8,7 +8,7 @@
 from valeturn.lab.soak_schedule import Ending, OperatorFile, Signal, draw_schedule
 
 PLANTED = "import sys\n{fault}\nfrom valeturn.server.commands import main\nsys.exit(main(sys.argv[1:]))"
-DROPPED_ANSWER = """from valeturn.dispatch.gateway_server import Connection
+DROPPED_ANSWER = """from valeturn.dispatch.gateway_connection import Connection
 from valeturn.server.shutdown import GracefulShutdown
 begin, deliver = GracefulShutdown.begin, Connection.deliver
 def noticed(self):
--- a/tests/transport/test_transport.py
+++ b/tests/transport/test_transport.py
@@ -9,7 +9,8 @@
 from valeturn.admission.interface import Outcome
 from valeturn.dispatch import messages
 from valeturn.dispatch.executor_client import ExecutorClient
-from valeturn.dispatch.gateway_server import MAX_REMEMBERED_STREAMS, SHORT_CLOSE_TIMEOUT_S, GatewayServer
+from valeturn.dispatch.gateway_connection import MAX_REMEMBERED_STREAMS, SHORT_CLOSE_TIMEOUT_S
+from valeturn.dispatch.gateway_server import GatewayServer
 from valeturn.dispatch.ledger_client import LedgerClient
 from valeturn.dispatch.registry_client import RegistryClient
 from valeturn.protocol import executor as executor_protocol
--- a/valeturn/server/shutdown.py
+++ b/valeturn/server/shutdown.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..dispatch.gateway_server import CLOSE_TIMEOUT_S
+from ..dispatch.gateway_connection import CLOSE_TIMEOUT_S
 from ..dispatch.messages import DrainRequested, StopRequested
 
 if TYPE_CHECKING:
--- a/valeturn/transport/scheduler.py
+++ b/valeturn/transport/scheduler.py
@@ -32,13 +32,6 @@
     return bool(poller.poll(0))
 
 
-def hung_up(fd):
-    """Whether the other side of a connection has closed or reset it; never waits."""
-    poller = select.poll()
-    poller.register(fd, HANGUP)
-    return bool(poller.poll(0))
-
-
 class Cancelled(greenlet.GreenletExit):
     """Raised in a task that another task has cancelled."""
 
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 from enum import Enum
 
-from .scheduler import HANGUP, READ, WRITE, hung_up, readable
+from .scheduler import HANGUP, READ, WRITE, readable
 
 READ_SIZE_BYTES = 65536  # one read takes a whole burst of submissions, which are some hundred bytes each
 # Reads in a row that find bytes before other tasks get their turn: a peer that writes faster than this side
@@ -55,6 +56,7 @@
         self.scheduler, self.sock, self.max_unsent = scheduler, sock, max_unsent
         self.unsent, self.writer, self.fault, self.read_size = bytearray(), None, None, read_size
         self.consecutive_reads = 0  # that found bytes
+        self.hangup_poller = None  # made by the first look whether the other side has closed
 
     def read(self, timeout=None):
         """Return bytes as soon as there are some, or a StreamFault.
@@ -92,7 +94,12 @@
 
     def peer_has_closed(self):
         """Whether the other side has closed or reset the connection, though bytes may still be unread."""
-        return self.fault is not None or hung_up(self.sock.fileno())
+        if self.fault is not None:
+            return True
+        if self.hangup_poller is None:
+            self.hangup_poller = select.poll()
+            self.hangup_poller.register(self.sock.fileno(), HANGUP)
+        return bool(self.hangup_poller.poll(0))
 
     def wait_for_hangup(self, timeout):
         """Wait until the other side closes or resets the connection; False after the timeout in seconds."""
