Take only the events of a close for a close of the other side

A poll that reports readiness beyond what was asked for would have made an open connection look closed. The look whether the other side has closed now tests the events by name; a test covers shutdown, close and reset with bytes unread. No such poll was seen: the three cases pass with and without the change.

--- a/tests/dispatch/test_endings.py
+++ b/tests/dispatch/test_endings.py
@@ -156,6 +156,28 @@
     assert len(took) == 2 and max(took) < 2.0 and silent.sock.fileno() == flooded.sock.fileno() == -1
 
 
+@pytest.mark.parametrize("ending", ["shutdown", "close", "reset"])
+def test_close_of_the_other_side_shows_before_what_it_left_is_read(scheduler, ending):  # noqa: F811
+    stream, far = pair(scheduler)
+    assert not stream.peer_has_closed()
+    far.sendall(b"unread")
+    arrived(stream)
+    assert not stream.peer_has_closed()
+    if ending == "shutdown":
+        far.shutdown(socket.SHUT_WR)
+    else:
+        linger = struct.pack("ii", int(ending == "reset"), 0)
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        far.close()
+    until = time.monotonic() + 5
+    while not stream.peer_has_closed() and time.monotonic() < until:
+        time.sleep(0.001)
+    assert stream.peer_has_closed() and stream.read_available() == b"unread"
+    stream.close()
+    assert stream.peer_has_closed()
+    far.close()
+
+
 def test_endless_data_during_a_lingering_close_leaves_other_tasks_their_turn(scheduler):  # noqa: F811
     """Guards against a close that reads and decodes all that a flooding client sends in one turn."""
     stream, far = pair(scheduler)
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -15,6 +15,9 @@
 MAX_CONSECUTIVE_READS = 8
 # Read and dropped after the shutdown of a stream: several times what fits into a sender's buffer.
 MAX_DISCARDED_BYTES = 1 << 20
+CLOSED_EVENTS = (
+    HANGUP | select.POLLHUP | select.POLLERR
+)  # by which a poll tells that the other side has closed
 FLUSH_POLL_S = 0.005  # between checks whether everything is sent
 CONNECT_STARTED = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 CONNECT_UNDER_WAY = (errno.EALREADY, *CONNECT_STARTED)
@@ -99,7 +102,7 @@
         if self.hangup_poller is None:
             self.hangup_poller = select.poll()
             self.hangup_poller.register(self.sock.fileno(), HANGUP)
-        return bool(self.hangup_poller.poll(0))
+        return any(events & CLOSED_EVENTS for _, events in self.hangup_poller.poll(0))
 
     def wait_for_hangup(self, timeout):
         """Wait until the other side closes or resets the connection; False after the timeout in seconds."""
