Wake a connection that is held back when it is closed

A connection that is held back for its many messages slept on when it was closed, up to half a second, with requests read and not answered; a shutdown could end before. The interrupt of a stream ends this wait too. The new test fails on the code before.

--- a/tests/dispatch/test_endings.py
+++ b/tests/dispatch/test_endings.py
@@ -27,6 +27,7 @@
 from valeturn.protocol.http import Malformed
 from valeturn.server.resource_limits import derive
 from valeturn.transport import listener as listener_module
+from valeturn.transport import message_pacing
 from valeturn.transport import scheduler as scheduler_module
 from valeturn.transport.listener import AcceptResult, Listener, open_listening_socket
 from valeturn.transport.scheduler import READ, Mailbox
@@ -545,6 +546,27 @@
     run(scheduler, test)
 
 
+def test_connection_that_is_held_back_answers_what_it_has_read_as_soon_as_it_is_closed(
+    scheduler,  # noqa: F811
+    monkeypatch,
+):
+    """Guards against a shutdown that ends while a paused connection still has requests to answer."""
+    monkeypatch.setattr(message_pacing, "PERIOD_S", 30.0)
+    monkeypatch.setattr(message_pacing, "MAX_PAUSE_S", 30.0)
+    served = RunningGateways(scheduler)
+
+    def test():
+        connection, far = served.connect()
+        many = message_pacing.MESSAGES_PER_PERIOD
+        far.sendall(b"".join(frame(9, stream) for stream in range(1, many + 1)) + submission(1))
+        while not served.counts.get("gateway.held_back"):
+            scheduler.sleep(0.002)
+        connection.close()
+        assert served.to_the_end(far) == frame(8, 1, REJECTED)
+
+    run(scheduler, test)
+
+
 def test_open_submissions_fail_before_their_connection_closes(scheduler):  # noqa: F811
     served = RunningGateways(scheduler)
 
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -109,9 +109,10 @@
         return self.fault is not None or self.scheduler.wait_fd(self.sock.fileno(), HANGUP, timeout)
 
     def interrupt(self):
-        """End a task's wait for something to read."""
+        """End a task's wait for something to read, or for the other side to close."""
         if self.fault is None:
             self.scheduler.interrupt(self.sock.fileno(), READ)
+            self.scheduler.interrupt(self.sock.fileno(), HANGUP)
 
     def write(self, data):
         """Send what the socket takes, and buffer the rest for a task of its own.
