Count the fields of messages that come while a connection is closed

Callers saw: with 400 flooding connections (table of 369) and frames of 255 fields, a calm gateway's submissions had no answer in time.

Cause: after the close of a connection had begun, up to 128 messages were decoded, whatever they cost, a whole read of 8 KB in one turn, and on after the 32nd answer, behind which nothing is answered. 233 flooding connections that were closed for want of places took 2.4 of 3 s (479 of 599 samples of a profile were there).

Change: the bound counts fields as the budget of an open connection does, nothing is decoded once nothing more would be answered, and other tasks have their turns between the messages. What a gateway can have open, with the most fields and a cancel each, is still decoded.

The new test fails on the code before (7 messages in a turn where 2 are allowed).

--- a/tests/dispatch/test_endings.py
+++ b/tests/dispatch/test_endings.py
@@ -24,6 +24,7 @@
 from valeturn.dispatch.http_exchange import exchange
 from valeturn.dispatch.ledger_client import LedgerClient
 from valeturn.protocol import executor as executor_protocol
+from valeturn.protocol import frames
 from valeturn.protocol.http import Malformed
 from valeturn.server.resource_limits import derive
 from valeturn.transport import listener as listener_module
@@ -567,6 +568,33 @@
     run(scheduler, test)
 
 
+def test_many_large_messages_at_a_close_leave_other_tasks_their_turn(scheduler, monkeypatch):  # noqa: F811
+    """Guards against closes of flooding connections that take as long as their clients' messages need."""
+    served, decoded, turns = RunningGateways(scheduler), [], []
+    decode_frame = frames._decode_frame
+    monkeypatch.setattr(frames, "_decode_frame", lambda *args: decoded.append(args) or decode_frame(*args))
+    many_fields = bytes((frames.MAX_FIELDS,)) + b"".join(
+        bytes((2,)) + b"%02x" % number + bytes(2) for number in range(frames.MAX_FIELDS)
+    )
+
+    def other():
+        while not turns or turns[-1] < gateway_connection.MAX_OPEN_SUBMISSIONS:
+            turns.append(len(decoded))
+            scheduler.pause()
+
+    def test():
+        connection, far = served.connect()
+        far.sendall(60 * frame(1, 3, many_fields))
+        arrived(connection.stream)
+        connection.close()
+        scheduler.spawn(other)
+        assert served.to_the_end(far) == gateway_connection.MAX_OPEN_SUBMISSIONS * frame(2, 3, REJECTED)
+
+    run(scheduler, test)
+    assert max(after - before for before, after in zip(turns, turns[1:])) <= 2
+    assert len(decoded) == gateway_connection.MAX_OPEN_SUBMISSIONS
+
+
 def test_open_submissions_fail_before_their_connection_closes(scheduler):  # noqa: F811
     served = RunningGateways(scheduler)
 
--- a/valeturn/dispatch/gateway_connection.py
+++ b/valeturn/dispatch/gateway_connection.py
@@ -15,11 +15,11 @@
 # The same when room for connections is short; also the time without an open submission before this side
 # closes. A submission that crosses a close within 50 ms is sent again by its gateway.
 SHORT_CLOSE_TIMEOUT_S = 0.1
-# Messages that are decoded after the close of a connection has begun: a gateway has at most 32 submissions
-# open, and may cancel each or ask for health in between.
-MAX_LATE_MESSAGES = 128
-# Of these, decoded at a time: an answer to a connection that its other side has closed shows at the next one.
-LATE_MESSAGES_PER_STEP = 4
+# Of the messages that are decoded after the close of a connection has begun: a gateway has at most 32
+# submissions open, and may cancel each.
+MAX_LATE_COST = MAX_OPEN_SUBMISSIONS * (frames.MAX_FRAME_COST + 1)
+# Of this, decoded at a time: an answer to a connection that its other side has closed shows at the next one.
+LATE_COST_PER_STEP = 4
 # Stream numbers remembered out of order; beyond that the lowest gap counts as used. At most 32 are open.
 MAX_REMEMBERED_STREAMS = 512
 # Invalid submissions on one connection before it is closed: gateways send none, and each one costs a turn.
@@ -44,7 +44,7 @@
             0,
             0,
         )
-        self.late_messages = 0  # decoded after the close had begun
+        self.late_cost = 0  # of the messages decoded after the close had begun
         self.budget = MessageBudget()
         self.close_at = math.inf  # when this side closes after it has asked the gateway to
         self.linger = CLOSE_TIMEOUT_S  # seconds for the other side to read to the end
@@ -129,17 +129,27 @@
     def handle_last_data(self, data):
         """Answer what came while the connection was being closed, before the shutdown of its stream.
 
-        What comes after MAX_LATE_MESSAGES messages, or once the other side is known to read no answers, is
-        dropped undecoded.
+        What comes after MAX_LATE_COST, or once nothing more would be answered or read by the other side, is
+        dropped undecoded. Other connections get their turns between the messages.
         """
-        while self.late_messages < MAX_LATE_MESSAGES and self.stream.fault is None:
-            messages = self.decoder.feed(data, LATE_MESSAGES_PER_STEP)
+        while self.reads_late_messages():
+            fields_before = self.decoder.field_count
+            messages = self.decoder.feed(data, LATE_COST_PER_STEP)
             data = b""
             if not messages:
                 return
-            self.late_messages += len(messages)
+            self.late_cost += self.decoder.cost_since(fields_before, messages)
             for message in messages:
                 self.answer_while_closing(message)
+            self.gateways.scheduler.pause()
+
+    def reads_late_messages(self):
+        """Return whether a message that comes while the connection is being closed may still be answered."""
+        return (
+            self.late_cost < MAX_LATE_COST
+            and self.late_answers < MAX_OPEN_SUBMISSIONS
+            and self.stream.fault is None
+        )
 
     def answer_while_closing(self, message):
         """Reject a message that was read after the close had begun.
--- a/valeturn/protocol/frames.py
+++ b/valeturn/protocol/frames.py
@@ -20,6 +20,8 @@
 # connections share the memory.
 MAX_BUFFERED_BYTES = 4096
 FIELDS_PER_MESSAGE = 32  # which cost as much to decode as the rest of a message; a submission has fewer
+MAX_FIELDS = 255  # of a frame: their number is one byte
+MAX_FRAME_COST = 1 + MAX_FIELDS // FIELDS_PER_MESSAGE  # in messages, see FrameDecoder.cost_since
 MAX_BODY_BYTES = 2048  # of a submission
 # Frame types.
 SUBMISSION, ANSWER, CANCEL, HEALTH_CHECK, HEALTH, NO_MORE = 7, 8, 9, 1, 2, 3
