Let a connection save its messages while nothing is unread on it

Cause: while the shared rate is exceeded a connection may send 8 messages at a time, then it is held back for 0.5 s. What gathers in 0.5 s is more than 8 messages again. Beside it, the messages of a turn were counted on across waits, so that each 32nd message ended the turn of a connection that had waited before each.

Change: a connection on which a read has found nothing saves what it does not use, up to 64 messages, and begins a new turn. One that has more waiting than is read saves nothing, as before.

The new tests need the new argument, so on the code before they fail for want of it.

--- a/tests/transport/test_message_pacing.py
+++ b/tests/transport/test_message_pacing.py
@@ -17,6 +17,31 @@
     assert not budget.spend(10.0 + 1.5 * message_pacing.PERIOD_S, 1)
 
 
+def test_client_that_sends_little_is_not_held_back_for_what_gathered_while_the_process_was_slow():
+    """Guards against a calm connection that falls behind once and is taken for a flooding one."""
+    budget = MessageBudget()
+    for turn in range(20):
+        assert not budget.spend(10.0 + 0.02 * turn, 1, 8, caught_up=True)
+    assert not budget.spend(10.9, 25, 8, caught_up=True)
+
+
+def test_client_that_is_behind_saves_nothing():
+    budget = MessageBudget()
+    assert not budget.spend(10.0, 7, 8, caught_up=True)
+    assert budget.spend(10.9, 8, 8, caught_up=False)
+
+
+def test_turn_of_a_connection_begins_anew_once_all_was_read():
+    """Guards against a calm connection that yields to flooding ones each time it has sent 32 messages."""
+    budget = MessageBudget()
+    for number in range(3 * message_pacing.MAX_MESSAGES_PER_TURN):
+        budget.spend(10.0 + number, 1, caught_up=True)
+        assert not budget.ends_turn()
+    for number in range(message_pacing.MAX_MESSAGES_PER_TURN - 1):
+        budget.spend(300.0 + number, 1)
+    assert budget.ends_turn()
+
+
 @pytest.mark.parametrize("flooding_count", [1, 10, 100])
 def test_other_tasks_run_between_the_messages_of_flooding_connections(scheduler, flooding_count):
     """Guards against a loop that handles all that one connection sent before anything else runs."""
--- a/tests/transport/test_transport.py
+++ b/tests/transport/test_transport.py
@@ -465,6 +465,9 @@
     def wait_for_hangup(self, timeout):
         return False
 
+    def take_caught_up(self):
+        return True
+
     def close(self):
         self.closed = True
 
--- a/valeturn/transport/message_pacing.py
+++ b/valeturn/transport/message_pacing.py
@@ -25,27 +25,41 @@
 
 
 class MessageBudget:
-    """The messages that one connection has sent in its current period."""
+    """The messages that one connection may still send without a pause.
+
+    A connection on which nothing is left unread saves what it does not use, up to MESSAGES_PER_PERIOD. So a
+    client that sends little is not held back for what has gathered while the process was slow.
+    """
 
     def __init__(self) -> None:
-        self._period_began = 0.0
-        self._handled = 0
+        self._period_began: float | None = None  # until the first message
+        self._remaining = 0
         self._handled_in_turn = 0
 
-    def spend(self, now: float, count: int, allowance: int = MESSAGES_PER_PERIOD) -> bool:
-        """Count messages that were handled; return whether the budget of the period is used up.
+    def spend(
+        self, now: float, count: int, allowance: int = MESSAGES_PER_PERIOD, caught_up: bool = False
+    ) -> bool:
+        """Count messages that were handled; return whether the budget is used up.
 
         Args:
             now: The current time in seconds.
             count: How many messages were handled.
             allowance: How many messages the connection may send in a period.
+            caught_up: Whether all that the client had sent was read since the last call.
         """
-        if now - self._period_began >= PERIOD_S:
+        if caught_up:  # the others had their turns meanwhile
+            self._handled_in_turn = 0
+        if self._period_began is None:
+            self._period_began = now
+            self._remaining = allowance
+        elapsed_periods = int((now - self._period_began) / PERIOD_S)
+        if elapsed_periods:
+            saved = self._remaining + elapsed_periods * allowance
             self._period_began = now
-            self._handled = 0
-        self._handled += count
+            self._remaining = min(MESSAGES_PER_PERIOD, saved) if caught_up else allowance
+        self._remaining -= count
         self._handled_in_turn += count
-        return self._handled >= allowance
+        return self._remaining <= 0
 
     def ends_turn(self) -> bool:
         """Return whether other tasks are to get their turn now; a new turn begins then."""
@@ -97,7 +111,7 @@
         allowance = self.allowance()
         backlog_ends = max(now, self._backlog_ends) + count / MESSAGES_PER_S
         self._backlog_ends = min(now + MAX_BACKLOG_S, backlog_ends)
-        if budget.spend(now, count, allowance) or stream.unsent:
+        if budget.spend(now, count, allowance, stream.take_caught_up()) or stream.unsent:
             self._hold_back(stream)
         elif budget.ends_turn():
             self._scheduler.pause()
--- a/valeturn/transport/streams.py
+++ b/valeturn/transport/streams.py
@@ -59,6 +59,7 @@
         self.scheduler, self.sock, self.max_unsent = scheduler, sock, max_unsent
         self.unsent, self.writer, self.fault, self.read_size = bytearray(), None, None, read_size
         self.consecutive_reads = 0  # that found bytes
+        self.caught_up = True  # whether a read has found nothing since the last call of take_caught_up
         self.hangup_poller = None  # made by the first look whether the other side has closed
 
     def read(self, timeout=None):
@@ -76,6 +77,7 @@
                 self.consecutive_reads += 1
                 return received
             self.consecutive_reads = 0
+            self.caught_up = True
             if not self.scheduler.wait_fd(self.sock.fileno(), READ, timeout):
                 return self.fault or StreamFault.TIMED_OUT
         return self.fault
@@ -91,6 +93,11 @@
         except OSError:
             return StreamFault.RESET
 
+    def take_caught_up(self):
+        """Return whether a read has found nothing since the last call."""
+        caught_up, self.caught_up = self.caught_up, False
+        return caught_up
+
     def nothing_pending(self):
         """Whether nothing is unread or unsent at this moment, so that a close resets nothing."""
         return self.fault is None and not self.unsent and not readable(self.sock.fileno())
