Resume flooding connections after all others, for 1 ms in each round

Callers saw: as 400 connections began to flood, a calm gateway's answers were up to 0.7 s late, and a quarter to a third of its submissions was rejected for it.

Cause: each round of the loop resumed each flooding connection once, and took 28 to 180 ms. The dispatcher may wait for four rounds, and the executor's link for one.

Change: a connection that has used up its turn or its budget yields to all others, also to what becomes ready meanwhile. Each round resumes as many of these as fit into 1 ms, and one at the least.

--- a/tests/lab/test_client_floods.py
+++ b/tests/lab/test_client_floods.py
@@ -45,6 +45,15 @@
     assert report.quantile_s(0.95) <= LATENCY_OBJECTIVE_S, report.line()
 
 
+@pytest.mark.parametrize("kind", ["many-field-health-checks", "health-checks"])
+def test_more_flooding_connections_than_places_leave_a_calm_gateway_its_answers(kind):
+    """Guards against a gateway that falls behind as all connections begin at once, and never catches up."""
+    report = measure(FloodPlan(kind, 2 * FLOOD_S, connections=400, memory_mb=32, sockets=512))
+    assert report.exit_code is None and report.peak_memory_mb <= 32, report.line()
+    assert report.outcomes.keys() <= {"served", "rejected"}, report.line()
+    assert report.median_s() <= LATENCY_OBJECTIVE_S, report.line()
+
+
 def test_clients_that_close_with_requests_unread_delay_no_calm_gateway():
     """Guards against requests of departed clients that are taken up and take the others' turns."""
     report = measure(FloodPlan("abandoned-submissions", FLOOD_S, connections=200))
--- a/tests/transport/test_message_pacing.py
+++ b/tests/transport/test_message_pacing.py
@@ -1,6 +1,7 @@
 """Connections that send more messages than they need give way to others."""
 
 import socket
+import time
 
 import pytest
 from loop_support import run
@@ -42,6 +43,55 @@
     assert budget.ends_turn()
 
 
+@pytest.mark.parametrize("low_priority", [False, True])
+def test_tasks_that_yield_to_all_delay_no_other_however_many_they_are(scheduler, low_priority):
+    """Guards against a round of the loop that takes as long as all flooding connections together."""
+    handled, turns = [0], []
+
+    def flooding():
+        while len(turns) < 20:
+            began = time.monotonic()
+            while time.monotonic() < began + 0.0005:
+                pass
+            handled[0] += 1
+            scheduler.yield_to_all()
+
+    def calm():
+        while len(turns) < 20:
+            scheduler.sleep(0.002)
+            turns.append(handled[0])
+
+    def test():
+        scheduler.spawn(calm, low_priority=low_priority)
+        while len(turns) < 20:
+            scheduler.sleep(0.01)
+
+    run(scheduler, test, *[flooding] * 200)
+    gaps = [after - before for before, after in zip(turns, turns[1:], strict=False)]
+    assert max(gaps) <= 12
+
+
+def test_task_that_was_cancelled_while_it_yielded_is_resumed_once(scheduler):
+    """Guards against an entry that is left behind and ends the task's next wait."""
+    seen = []
+
+    def yielding():
+        try:
+            scheduler.yield_to_all()
+        finally:
+            task.cancelled = False
+            seen.append(scheduler.wait(0.05, "time is up"))
+
+    task = scheduler.spawn(yielding)
+
+    def test():
+        scheduler.cancel(task)
+        scheduler.sleep(0.2)
+        assert seen == ["time is up"] and not scheduler.yielded
+
+    run(scheduler, test)
+
+
 @pytest.mark.parametrize("flooding_count", [1, 10, 100])
 def test_other_tasks_run_between_the_messages_of_flooding_connections(scheduler, flooding_count):
     """Guards against a loop that handles all that one connection sent before anything else runs."""
--- a/valeturn/dispatch/gateway_connection.py
+++ b/valeturn/dispatch/gateway_connection.py
@@ -141,7 +141,7 @@
             self.late_cost += self.decoder.cost_since(fields_before, messages)
             for message in messages:
                 self.answer_while_closing(message)
-            self.gateways.scheduler.pause()
+            self.gateways.scheduler.yield_to_all()
 
     def reads_late_messages(self):
         """Return whether a message that comes while the connection is being closed may still be answered."""
--- a/valeturn/transport/message_pacing.py
+++ b/valeturn/transport/message_pacing.py
@@ -114,12 +114,13 @@
         if budget.spend(now, count, allowance, stream.take_caught_up()) or stream.unsent:
             self._hold_back(stream)
         elif budget.ends_turn():
-            self._scheduler.pause()
+            self._scheduler.yield_to_all()
 
     def _hold_back(self, stream: Stream) -> None:
         self._on_pause()
         if stream.fault is not None:
-            self._scheduler.pause()
+            self._scheduler.yield_to_all()
             return
         backlog_s = self._backlog_ends - self._scheduler.clock()
         stream.wait_for_hangup(min(MAX_PAUSE_S, max(PERIOD_S, backlog_s)))
+        self._scheduler.yield_to_all()
--- a/valeturn/transport/scheduler.py
+++ b/valeturn/transport/scheduler.py
@@ -1,8 +1,9 @@
-"""Runs greenlets over select.poll: a queue of ready tasks, one for low-priority tasks, and a heap of timers.
+"""Runs greenlets over select.poll: a queue of ready tasks, two of tasks that come later, a heap of timers.
 
 Each round polls, runs the timers that are due, and then resumes each ready task once. Low-priority tasks are
 resumed when nothing else is ready, so that everything readable is read first, or after MAX_DEFERRED_ROUNDS
-rounds, so that they are never starved.
+rounds, so that they are never starved. Tasks that yield to all others are resumed last, for
+YIELDED_TIME_PER_ROUND_S, so that however many they are, a round does not take much longer.
 """
 
 from __future__ import annotations
@@ -18,6 +19,8 @@
 # Rounds that low-priority tasks wait at most. The tail of a burst is read within a few rounds; a longer wait
 # would only delay what has been read.
 MAX_DEFERRED_ROUNDS = 4
+# For tasks that yielded to all others, in each round; at least one of them is resumed.
+YIELDED_TIME_PER_ROUND_S = 0.001
 READ, WRITE = select.POLLIN, select.POLLOUT
 # The other side has shut down its sending side, though bytes may still be unread.
 HANGUP = select.POLLRDHUP
@@ -74,6 +77,7 @@
         self.ready, self.low_priority_ready, self.timers, self.sequence = deque(), deque(), [], 0
         self.poller, self.waiting = select.poll(), {}  # fd -> {READ, WRITE or HANGUP: task}
         self.polled = {}  # fd -> events the poller looks for, which may be more than tasks wait for
+        self.yielded = {}  # tasks that yielded to all others, as keys in their order
         self.hub, self.stopping, self.deferred_rounds = None, False, 0
         # For the counters: how often a task was resumed, and seconds that timers were late.
         self.turns = self.lag_sum = self.max_lag = 0
@@ -138,6 +142,15 @@
         self.call_later(0.0, self.wake, greenlet.getcurrent())
         self.park()
 
+    def yield_to_all(self):
+        """Let all others run first, also those that become ready meanwhile."""
+        task = greenlet.getcurrent()
+        self.yielded[task] = None
+        try:
+            self.park()
+        finally:  # cancelled: an entry left behind would end another wait of the task
+            self.yielded.pop(task, None)
+
     # ---- time
 
     def call_later(self, delay, action, *args):
@@ -232,6 +245,19 @@
                 self.deferred_rounds = 0
                 for _ in range(len(self.low_priority_ready)):
                     self.resume(*self.low_priority_ready.popleft())
+            self.resume_yielded()
+
+    def resume_yielded(self):
+        """Resume tasks that yielded to all others, as many as fit into YIELDED_TIME_PER_ROUND_S."""
+        if not self.yielded:
+            return
+        ends = self.clock() + YIELDED_TIME_PER_ROUND_S
+        for task in list(self.yielded):
+            if task.parked:  # otherwise it was woken already
+                task.parked = False
+                self.resume(task, None)
+            if self.clock() >= ends:
+                return
 
     def has_due_work(self):
         """Whether a descriptor is ready or a timer is due; wakes the tasks whose descriptors are ready."""
@@ -244,7 +270,7 @@
         """
         if timeout is None:
             timeout = None if not self.timers else max(0.0, self.timers[0][0] - self.clock())
-            timeout = 0.0 if self.ready or self.low_priority_ready else timeout
+            timeout = 0.0 if self.ready or self.low_priority_ready or self.yielded else timeout
         woken = False
         for fd, ready_events in self.poller.poll(None if timeout is None else 1000.0 * timeout):
             tasks = self.waiting.get(fd, {})
