Compute the limit of a turn when messages are counted, not at each read

Cause: `turn_limit` and `allowance` each read the clock, once a read and once more behind it.

Change: `after` computes both from one reading. The limit that a read uses may be that of the last read of any connection, and is put right behind the first messages.

--- a/tests/transport/test_message_pacing.py
+++ b/tests/transport/test_message_pacing.py
@@ -169,12 +169,12 @@
 
     def watch():
         for _ in range(4):
-            allowances.append(pacing.allowance())
+            allowances.append(pacing.allowance(scheduler.clock()))
             for _ in range(50):
                 scheduler.spawn(flooding)
             scheduler.pause()
             scheduler.pause()
-        allowances.append(pacing.allowance())
+        allowances.append(pacing.allowance(scheduler.clock()))
 
     run(scheduler, watch)
     assert allowances[0] == message_pacing.MESSAGES_PER_PERIOD
--- a/valeturn/dispatch/gateway_connection.py
+++ b/valeturn/dispatch/gateway_connection.py
@@ -102,7 +102,7 @@
                 self.handle_last_data(data)
                 return
             fields_before = self.decoder.field_count
-            messages = self.decoder.feed(data, self.gateways.pacing.turn_limit())
+            messages = self.decoder.feed(data, self.gateways.pacing.turn_limit)
             data = b""
             if not messages:
                 return
--- a/valeturn/transport/message_pacing.py
+++ b/valeturn/transport/message_pacing.py
@@ -86,15 +86,19 @@
         self._scheduler = scheduler
         self._on_pause = on_pause
         self._backlog_ends = 0.0  # when what was handled is within the shared rate again
+        # Messages that may be decoded before other tasks get their turn.
+        self.turn_limit = MAX_MESSAGES_PER_TURN
 
-    def allowance(self) -> int:
-        """Return how many messages a connection may send in a period, which falls as the backlog grows."""
-        backlog_s = self._backlog_ends - self._scheduler.clock()
-        return int(MESSAGES_PER_PERIOD * MAX_PAUSE_S / max(MAX_PAUSE_S, backlog_s))
+    def allowance(self, now: float) -> int:
+        """Return how many messages a connection may send in a period, which falls as the backlog grows.
 
-    def turn_limit(self) -> int:
-        """Return how many messages may be decoded before other tasks get their turn."""
-        return min(MAX_MESSAGES_PER_TURN, self.allowance())
+        Args:
+            now: The current time in seconds.
+        """
+        backlog_s = self._backlog_ends - now
+        if backlog_s <= MAX_PAUSE_S:
+            return MESSAGES_PER_PERIOD
+        return int(MESSAGES_PER_PERIOD * MAX_PAUSE_S / backlog_s)
 
     def after(self, stream: Stream, budget: MessageBudget, count: int) -> None:
         """Count messages of a connection that were handled, and suspend its task where that is due.
@@ -108,7 +112,8 @@
             count: How many messages were handled since the last call.
         """
         now = self._scheduler.clock()
-        allowance = self.allowance()
+        allowance = self.allowance(now)
+        self.turn_limit = min(MAX_MESSAGES_PER_TURN, allowance)
         backlog_ends = max(now, self._backlog_ends) + count / MESSAGES_PER_S
         self._backlog_ends = min(now + MAX_BACKLOG_S, backlog_ends)
         if budget.spend(now, count, allowance, stream.take_caught_up()) or stream.unsent:
