Have the decoder tell the cost of what it returned, and drop a dead branch

Cause: the two readers of a connection each kept the decoder's field count from before a call to derive the cost that the call had computed. The pause of a broken stream had a branch of its own, though the wait in it returns at once and the task yields behind it in either case. Each round copied all tasks that had yielded, of which some three fit into its time. A test built the payload that the laboratory's flooding client builds.

Change: `FrameDecoder.cost` is that of the last call; the branch is gone; the tasks are taken from the front one at a time, each at most once a round as before; the test calls `fields_payload`. Behaviour, bounds and assertions are as before.

Measured: the tests of transport, dispatch, control and layers pass, format, lint and types are clean.

--- a/tests/dispatch/test_endings.py
+++ b/tests/dispatch/test_endings.py
@@ -23,6 +23,7 @@
 from valeturn.dispatch.gateway_server import GatewayServer
 from valeturn.dispatch.http_exchange import exchange
 from valeturn.dispatch.ledger_client import LedgerClient
+from valeturn.lab.flood_client import fields_payload
 from valeturn.protocol import executor as executor_protocol
 from valeturn.protocol import frames
 from valeturn.protocol.http import Malformed
@@ -573,9 +574,7 @@
     served, decoded, turns = RunningGateways(scheduler), [], []
     decode_frame = frames._decode_frame
     monkeypatch.setattr(frames, "_decode_frame", lambda *args: decoded.append(args) or decode_frame(*args))
-    many_fields = bytes((frames.MAX_FIELDS,)) + b"".join(
-        bytes((2,)) + b"%02x" % number + bytes(2) for number in range(frames.MAX_FIELDS)
-    )
+    many_fields = fields_payload({f"{number:02x}": "" for number in range(frames.MAX_FIELDS)})
 
     def other():
         while not turns or turns[-1] < gateway_connection.MAX_OPEN_SUBMISSIONS:
--- a/valeturn/dispatch/gateway_connection.py
+++ b/valeturn/dispatch/gateway_connection.py
@@ -101,15 +101,13 @@
                 self.close()
                 self.handle_last_data(data)
                 return
-            fields_before = self.decoder.field_count
             messages = self.decoder.feed(data, self.gateways.pacing.turn_limit)
             data = b""
             if not messages:
                 return
             self.handle_messages(messages)
             if not self.closing and not self.ended:
-                cost = self.decoder.cost_since(fields_before, messages)
-                self.gateways.pacing.after(self.stream, self.budget, cost)
+                self.gateways.pacing.after(self.stream, self.budget, self.decoder.cost)
             if not self.decoder.unfinished:
                 return
 
@@ -133,12 +131,11 @@
         dropped undecoded. Other connections get their turns between the messages.
         """
         while self.reads_late_messages():
-            fields_before = self.decoder.field_count
             messages = self.decoder.feed(data, LATE_COST_PER_STEP)
             data = b""
             if not messages:
                 return
-            self.late_cost += self.decoder.cost_since(fields_before, messages)
+            self.late_cost += self.decoder.cost
             for message in messages:
                 self.answer_while_closing(message)
             self.gateways.scheduler.yield_to_all()
--- a/valeturn/protocol/frames.py
+++ b/valeturn/protocol/frames.py
@@ -21,7 +21,7 @@
 MAX_BUFFERED_BYTES = 4096
 FIELDS_PER_MESSAGE = 32  # which cost as much to decode as the rest of a message; a submission has fewer
 MAX_FIELDS = 255  # of a frame: their number is one byte
-MAX_FRAME_COST = 1 + MAX_FIELDS // FIELDS_PER_MESSAGE  # in messages, see FrameDecoder.cost_since
+MAX_FRAME_COST = 1 + MAX_FIELDS // FIELDS_PER_MESSAGE  # in messages, see `_cost`
 MAX_BODY_BYTES = 2048  # of a submission
 # Frame types.
 SUBMISSION, ANSWER, CANCEL, HEALTH_CHECK, HEALTH, NO_MORE = 7, 8, 9, 1, 2, 3
@@ -78,7 +78,7 @@
         self.buffer, self.failed = bytearray(), False
         # Bytes of a large frame that are still to be skipped, and the message to return then.
         self.bytes_to_skip, self.skipped_message = 0, None
-        self.field_count = 0  # fields that the decoded frames had, as most of the time goes into these
+        self.cost = 0  # of the messages that the last call of `feed` returned
 
     def feed(self, data, limit=math.inf):
         """Take received bytes; return the messages of the frames that are whole.
@@ -88,13 +88,14 @@
             limit: The cost at which no further frame is decoded; the frames behind stay buffered for the next
                 call.
         """
-        messages, position, fields_before = [], 0, self.field_count
+        messages, position, field_count = [], 0, 0
+        self.cost = 0
         if self.failed:
             return messages
         if self.bytes_to_skip:
             data = self._skip(data, messages)
         self.buffer += data
-        while len(self.buffer) - position >= 4 and self.cost_since(fields_before, messages) < limit:
+        while len(self.buffer) - position >= 4 and _cost(messages, field_count) < limit:
             length = int.from_bytes(self.buffer[position : position + 4], "little")
             if not MIN_FRAME_LENGTH <= length <= MAX_FRAME_LENGTH:
                 messages.append(ProtocolViolation(f"frame length {length}"))
@@ -115,22 +116,16 @@
                 break
             _, kind, stream = HEADER.unpack_from(self.buffer, position)
             payload = bytes(self.buffer[position + HEADER.size : position + 4 + length])
-            self.field_count += payload[0] if payload else 0
+            field_count += payload[0] if payload else 0
             messages.append(_decode_frame(kind, stream, payload))
             position += 4 + length
             if isinstance(messages[-1], ProtocolViolation):
                 break
         self.failed = bool(messages) and isinstance(messages[-1], ProtocolViolation)
         del self.buffer[:position]
+        self.cost = _cost(messages, field_count)
         return messages
 
-    def cost_since(self, field_count, messages):
-        """Return what messages cost that were decoded since the decoder had that field count.
-
-        A message costs 1, and 1 more for every FIELDS_PER_MESSAGE fields.
-        """
-        return len(messages) + (self.field_count - field_count) // FIELDS_PER_MESSAGE
-
     @property
     def unfinished(self):
         """Whether a part of a frame, or a frame that was not returned yet, has been received."""
@@ -145,6 +140,12 @@
         return data[skipped:]
 
 
+def _cost(messages, field_count):
+    """Return what messages with that many fields in all cost to decode: 1 each, and 1 for every
+    FIELDS_PER_MESSAGE fields."""
+    return len(messages) + field_count // FIELDS_PER_MESSAGE
+
+
 def _decode_frame(kind, stream, payload):
     """Decode a whole frame to a message, or to a ProtocolViolation."""
     if kind == CANCEL:
--- a/valeturn/transport/message_pacing.py
+++ b/valeturn/transport/message_pacing.py
@@ -86,7 +86,7 @@
         self._scheduler = scheduler
         self._on_pause = on_pause
         self._backlog_ends = 0.0  # when what was handled is within the shared rate again
-        # Messages that may be decoded before other tasks get their turn.
+        # Messages that may be decoded before other tasks get their turn, as of the last call of `after`.
         self.turn_limit = MAX_MESSAGES_PER_TURN
 
     def allowance(self, now: float) -> int:
@@ -123,9 +123,6 @@
 
     def _hold_back(self, stream: Stream) -> None:
         self._on_pause()
-        if stream.fault is not None:
-            self._scheduler.yield_to_all()
-            return
         backlog_s = self._backlog_ends - self._scheduler.clock()
         stream.wait_for_hangup(min(MAX_PAUSE_S, max(PERIOD_S, backlog_s)))
         self._scheduler.yield_to_all()
--- a/valeturn/transport/scheduler.py
+++ b/valeturn/transport/scheduler.py
@@ -11,7 +11,7 @@
 import heapq
 import select
 import time
-from collections import deque
+from collections import OrderedDict, deque
 from typing import NamedTuple
 
 import greenlet
@@ -77,7 +77,7 @@
         self.ready, self.low_priority_ready, self.timers, self.sequence = deque(), deque(), [], 0
         self.poller, self.waiting = select.poll(), {}  # fd -> {READ, WRITE or HANGUP: task}
         self.polled = {}  # fd -> events the poller looks for, which may be more than tasks wait for
-        self.yielded = {}  # tasks that yielded to all others, as keys in their order
+        self.yielded = OrderedDict()  # tasks that yielded to all others, as keys
         self.hub, self.stopping, self.deferred_rounds = None, False, 0
         # For the counters: how often a task was resumed, and seconds that timers were late.
         self.turns = self.lag_sum = self.max_lag = 0
@@ -252,7 +252,8 @@
         if not self.yielded:
             return
         ends = self.clock() + YIELDED_TIME_PER_ROUND_S
-        for task in list(self.yielded):
+        for _ in range(len(self.yielded)):
+            task, _ = self.yielded.popitem(last=False)
             if task.parked:  # otherwise it was woken already
                 task.parked = False
                 self.resume(task, None)
